edge: a new holder waits for the counts of others before it closes windows

A daemon that had started 4 s before took the lease over and closed the window at once; the others send their counts to the holder and two likely successors, and it was none of these.

Ruled out: lost messages (the counts of the windows before and after arrived) and the clocks (the window's number was right).

The ledger begins when the authority is gained, or windows of the start would be passed over (a test showed it).

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -30,6 +30,10 @@
 	reportInterval = 500 * time.Millisecond
 	// reportTimeout bounds one report.
 	reportTimeout = 2 * time.Second
+	// gatherTime is the time that a new holder gives the others to send it their
+	// counts before it closes windows: they hear of it within two heartbeats, and
+	// deliver once per countsInterval.
+	gatherTime = 2*member.HeartbeatInterval + 2*countsInterval
 	// usageBackups is the number of challengers that get the counts besides the
 	// holder, so that a successor has them.
 	usageBackups = 2
@@ -83,8 +87,12 @@
 	reporting  bool
 	reportNext time.Time
 	countsNext time.Time
-	countsTo   []string
-	strong     *member.Set
+	// closeFrom is the time from which on windows are closed.
+	closeFrom time.Time
+	countsTo  []string
+	strong    *member.Set
+	// storeLost says that the last call for the lease failed.
+	storeLost atomic.Bool
 	// permit is nil without authority.
 	permit atomic.Pointer[permit]
 	// fleet acts on backend servers.
@@ -253,7 +261,9 @@
 	for _, c := range d.ledger.Unreported() {
 		d.reportable[c.Window] = true
 	}
+	d.ledger.Begin(d.clock.Now())
 	d.loaded = term
+	d.closeFrom = now.Add(gatherTime)
 	d.fleet.gained(now, term, ev.records)
 }
 
@@ -265,7 +275,7 @@
 	if !ok || term != d.loaded {
 		return
 	}
-	if d.ledger.Close(d.clock.Now()) {
+	if !now.Before(d.closeFrom) && d.ledger.Close(d.clock.Now()) {
 		d.submit()
 	}
 	d.report(now, term)
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -42,8 +42,21 @@
 	change()
 }
 
-func (m *memoryTopics) Put(context.Context, hosting.Topic, int64, hosting.KeyedRecord) (int64, hosting.Outcome, error) {
-	return 0, hosting.OutcomeRefused, errDown
+func (m *memoryTopics) Put(_ context.Context, topic hosting.Topic, at int64, r hosting.KeyedRecord) (int64, hosting.Outcome, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	end := int64(len(m.records))
+	switch {
+	case m.down:
+		return 0, hosting.OutcomeRefused, errDown
+	case at != hosting.NoOffset && at != end:
+		return 0, hosting.OutcomeRefused, &hosting.ConflictError{Topic: topic, End: end}
+	}
+	r.Offset = end
+	m.records = append(m.records, r)
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return end, hosting.OutcomeDone, nil
 }
 
 func (m *memoryTopics) Follow(ctx context.Context, topic hosting.Topic, from int64, wait time.Duration) (hosting.KeyedPage, error) {
--- a/metering/ledger.go
+++ b/metering/ledger.go
@@ -87,14 +87,19 @@
 	return body
 }
 
+// Begin makes the window that is open at the true time the first one to close,
+// unless an earlier one is known.
+func (l *Ledger) Begin(now time.Time) {
+	if l.next == 0 {
+		l.next = WindowAt(now, l.cfg.Length)
+	}
+}
+
 // Close closes the windows whose grace has passed at the true time, and reports
-// whether there were any. The first window that is closed is the one that was
-// open when the ledger began.
+// whether there were any.
 func (l *Ledger) Close(now time.Time) bool {
+	l.Begin(now)
 	current := WindowAt(now, l.cfg.Length)
-	if l.next == 0 {
-		l.next = current
-	}
 	// Windows whose report can't come in time any more are passed over.
 	overdue := WindowAt(now.Add(-l.cfg.Due), l.cfg.Length)
 	l.next = max(l.next, overdue)
