Log every decision about a request, bounded and buffered; serve metrics

Each daemon writes a line for where a request was placed and by which list of servers, why it was sent again, how it ended, and why it was turned away; and lines for silent schedulers, servers that take no work, members that join and leave, and the store of the lease. Lines no longer pass through a second JSON decoder that allocates per value. Counters and histograms are served on the address "metrics".

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	answer  Answer
 	// avoid holds the servers that failed the request.
 	avoid []string
+	// attempts counts the placements.
+	attempts int
 	// sent counts what reached backend servers: runs, and prompts read beyond
 	// the first one that was accepted.
 	sent int
@@ -66,7 +68,8 @@
 	// started is set once the client has the start of a stream.
 	started bool
 	// last is the ID of the last event that the client has.
-	last string
+	last  string
+	times times
 }
 
 // outcome is the end of an attempt: the client is answered, the call fails, or,
@@ -78,9 +81,7 @@
 
 // fail ends the call with an answer of the system's own.
 func (c *call) fail(f *Failure) {
-	c.Events.Record(event.KindRequest, "failed", c.request.ID,
-		event.F("route", c.request.Route.Name), event.F("reason", f.Reason), event.F("run", string(f.Run)),
-		event.F("retry_after", f.RetryAfter.String()))
+	c.logFailed(f)
 	if c.started {
 		c.answer.Break()
 		return
@@ -90,10 +91,15 @@
 
 // attempt places and sends the request once.
 func (c *call) attempt(ctx context.Context) outcome {
+	asked := time.Now()
 	place, err := c.Scheduler.Place(ctx, Need{Request: c.request, Avoid: c.avoid, Whole: c.prefilled, Resumed: c.started})
+	waited := time.Since(asked)
+	c.times.waited += waited
 	if err != nil {
 		return outcome{failure: c.notPlaced(ctx, err)}
 	}
+	c.attempts++
+	c.logPlaced(place, waited)
 	failed := c.run(ctx, place)
 	if failed == nil {
 		c.Scheduler.Done(place, Result{OK: true})
@@ -118,6 +124,9 @@
 // reasonAnswered marks an attempt whose failure the client got as its answer.
 const reasonAnswered = "answered"
 
+// reasonClientLeft is the end of a request whose client closed its connection.
+const reasonClientLeft = "client_left"
+
 func (c *call) notPlaced(ctx context.Context, err error) *Failure {
 	if ctx.Err() != nil {
 		return c.ended(ctx)
@@ -140,7 +149,7 @@
 
 // ended is the answer after the client left or the deadline passed.
 func (c *call) ended(ctx context.Context) *Failure {
-	f := &Failure{Run: c.runState(), Reason: "client_left"}
+	f := &Failure{Run: c.runState(), Reason: reasonClientLeft}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		f.Reason, f.TimedOut = "deadline", true
 	}
@@ -151,14 +160,15 @@
 func (c *call) afterFailure(ctx context.Context, failed *AttemptError) outcome {
 	switch {
 	case ctx.Err() != nil:
-		return outcome{failure: c.ended(ctx)}
+		f := c.ended(ctx)
+		f.Cause = failed
+		return outcome{failure: f}
 	case failed.Reason == reasonBudget:
-		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: budgetRetry}}
+		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: budgetRetry, Cause: failed}}
 	case !c.mayRepeat(failed.Run):
-		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: failedRetry}}
+		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: failedRetry, Cause: failed}}
 	}
-	c.Events.Record(event.KindRequest, "retried", c.request.ID,
-		event.F("server", failed.server()), event.F("reason", failed.Error()))
+	c.logRetried(failed)
 	return outcome{}
 }
 
@@ -242,8 +252,12 @@
 // prefill reads the prompt on the placement's prefill engine. The first reading
 // that is accepted is no attempt; a rejected one is.
 func (c *call) prefill(ctx context.Context, place *Placement) (Handle, *AttemptError) {
+	begin := time.Now()
 	handle, failed := c.Backends.Prefill(ctx, place.Prefill, c.request, RunOptions{Fetch: place.Fetch, Left: time.Until(c.request.Deadline)})
+	took := time.Since(begin)
+	c.times.prefill += took
 	if failed == nil {
+		prefillSeconds.Update(took.Seconds())
 		c.prefilled = true
 		c.Scheduler.Prefilled(place)
 		return handle, nil
@@ -264,7 +278,7 @@
 	for {
 		ev, err := reply.Next()
 		if errors.Is(err, io.EOF) {
-			return c.finish()
+			return c.finish(place, reply.Status())
 		}
 		if err != nil {
 			return brokenAnswer(err)
@@ -272,6 +286,7 @@
 		c.markBegun(place)
 		if !c.started {
 			c.started = true
+			c.markFirstByte()
 			if err := c.answer.Start(reply.Status(), reply.Header()); err != nil {
 				return clientError(err)
 			}
@@ -295,13 +310,14 @@
 	c.Scheduler.Started(place)
 }
 
-func (c *call) finish() *AttemptError {
+func (c *call) finish(place *Placement, status int) *AttemptError {
 	if !c.started {
 		return &AttemptError{Run: backend.RunUnknown, Reason: "empty_stream", Sent: true}
 	}
 	if err := c.answer.Finish(); err != nil {
 		return clientError(err)
 	}
+	c.logServed(place, status)
 	return nil
 }
 
@@ -335,9 +351,11 @@
 		// The client has the start of a stream, which this answer can't continue.
 		return &AttemptError{Run: backend.RunUnknown, Reason: "not_resumed", Sent: true}
 	}
+	c.markFirstByte()
 	if err := c.answer.Whole(reply.Status(), reply.Header(), body); err != nil {
 		return clientError(err)
 	}
+	c.logServed(place, reply.Status())
 	if failed {
 		return &AttemptError{Run: backend.RunDone, Reason: reasonAnswered, Sent: true}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -111,6 +111,7 @@
 func (f *fakes) Arrived(string)                 {}
 func (f *fakes) Has(string) bool                { return f.budget > 0 }
 func (f *fakes) Charge(string)                  { f.charged++ }
+func (f *fakes) State(string) (int, float64)    { return f.taken, float64(f.taken + f.budget) }
 func (f *fakes) Began(customer string)          { f.began = append(f.began, customer) }
 func (f *fakes) Release(h Handle)               { f.released = append(f.released, h.ID) }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
+	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/registry"
 )
 
@@ -46,6 +47,8 @@
 	Route    *catalog.Route
 	Service  *catalog.Service
 	Customer string
+	// ConfigVersion is the version of the configuration that admitted the request.
+	ConfigVersion int64
 	// Priority is the request's rank, 0 the most urgent.
 	Priority int
 	Arrived  time.Time
@@ -85,6 +88,10 @@
 	RetryAfter time.Duration
 	// TimedOut says that the deadline passed.
 	TimedOut bool
+	// Cause is the last attempt, if one failed.
+	Cause *AttemptError
+	// Inputs are what the scheduler decided by, for logs.
+	Inputs []event.Field
 }
 
 func (f *Failure) Error() string { return f.Reason }
@@ -193,6 +200,8 @@
 	Fetch *registry.Server
 	// Ticket belongs to the scheduler.
 	Ticket any
+	// Inputs are what the scheduler decided by, for logs.
+	Inputs []event.Field
 }
 
 // Result tells the scheduler how an attempt ended.
@@ -231,4 +240,6 @@
 	Has(service string) bool
 	// Charge counts an attempt that turned out not to be free.
 	Charge(service string)
+	// State returns the repeated attempts in the window and how many it allows.
+	State(service string) (repeats int, allowed float64)
 }
--- a/edge/budget.go
+++ b/edge/budget.go
@@ -120,7 +120,19 @@
 	w.repeats[w.bucket%budgetBuckets]++
 }
 
-func (b *retryBudget) allows(w *budgetWindow) bool {
+// State implements dispatch.RetryBudget.
+func (b *retryBudget) State(service string) (repeats int, allowed float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(b.window(service))
+}
+
+func (b *retryBudget) state(w *budgetWindow) (repeats int, allowed float64) {
 	requests, repeats := w.sums()
-	return float64(repeats+1) <= b.ratio*float64(requests)+b.extra/float64(b.shares())
+	return repeats, b.ratio*float64(requests) + b.extra/float64(b.shares())
+}
+
+func (b *retryBudget) allows(w *budgetWindow) bool {
+	repeats, allowed := b.state(w)
+	return float64(repeats+1) <= allowed
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -55,6 +55,8 @@
 	servers atomic.Pointer[serverView]
 	view    atomic.Pointer[view]
 	book    *memberBook
+	// serversCopy is the state of the copy of the servers.
+	serversCopy copyState
 
 	feeds    [feedCount]*feed
 	away     bool
@@ -115,6 +117,7 @@
 		changing:    map[string]changingEngine{},
 		leaving:     map[string]string{},
 	}
+	c.serversCopy.end.Store(hosting.NoOffset)
 	empty := member.NewSet(nil)
 	c.live, c.routable, c.strong = empty, empty, empty
 	c.servers.Store(newServerView(nil))
@@ -244,11 +247,12 @@
 			c.host.EntryGone(time.Now(), vm)
 		}
 	}
+	change := memberChange(c.live, a.Live)
 	c.live, c.routable = a.Live, a.Routable
 	c.strong = c.strongMembers()
 	c.duties.membership(c.strong, c.routable)
 	c.dirty = true
-	c.events.Record(event.KindConfig, "members_changed", "", event.F("live", formatInt(int64(a.Live.Len()))))
+	c.events.Record(event.KindConfig, "members_changed", "", change...)
 }
 
 func (c *control) beat(a member.SendHeartbeat) {
@@ -286,6 +290,10 @@
 	case *schedule.Progress:
 		c.host.Progress(now, m)
 	case *schedule.Release:
+		if m.Down != "" {
+			c.recordFault("server_down", m.Down, event.F("reported_by", ev.from), event.F("pool", m.Pool),
+				event.F("for", engineDownFor.String()))
+		}
 		c.host.Release(now, m)
 	}
 }
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -186,7 +186,9 @@
 	var conflict *hosting.ConflictError
 	ev := authority.Appended{Nonce: a.Nonce, Offset: offset, Outcome: outcome, Conflict: asError(err, &conflict)}
 	if err != nil && !ev.Conflict {
-		d.events.Record(event.KindFault, "duty_append_failed", formatInt(a.At), event.F("outcome", outcome.String()), event.F("error", err.Error()))
+		d.storeFailed("append", a.At, err)
+	} else {
+		d.storeAnswered()
 	}
 	d.emit(dutyEvent{event: ev})
 }
@@ -196,13 +198,28 @@
 	defer cancel()
 	page, err := d.readFrom(ctx, a.From)
 	if err != nil {
-		d.events.Record(event.KindFault, "duty_read_failed", formatInt(a.From), event.F("error", err.Error()))
+		d.storeFailed("read", a.From, err)
 		d.emit(dutyEvent{event: authority.ReadFailed{}})
 		return
 	}
+	d.storeAnswered()
 	d.emit(dutyEvent{event: authority.Read{End: page.End, Records: page.Records}})
 }
 
+// storeFailed records the first failure in a row.
+func (d *duties) storeFailed(call string, offset int64, err error) {
+	if !d.storeLost.Swap(true) {
+		d.events.Record(event.KindFault, "duty_store_lost", d.topic.String(), event.F("call", call),
+			event.F("offset", formatInt(offset)), event.F("error", err.Error()))
+	}
+}
+
+func (d *duties) storeAnswered() {
+	if d.storeLost.Swap(false) {
+		d.events.Record(event.KindConfig, "duty_store_regained", d.topic.String())
+	}
+}
+
 // readFrom reads on from an offset, or the newest records if some were deleted.
 func (d *duties) readFrom(ctx context.Context, from int64) (hosting.KeyedPage, error) {
 	if from != hosting.NoOffset {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 
 	"github.com/mimosakeel/mimosakeel/catalog"
@@ -66,6 +68,7 @@
 	counter    *metering.Counter
 	clock      *metering.Clock
 	budget     *retryBudget
+	metrics    *metrics.Set
 	stopping   atomic.Bool
 	active     atomic.Int64
 }
@@ -84,6 +87,7 @@
 	d.grants.view = d.control.view.Load
 	d.grants.server = d.server
 	d.grants.send = d.send
+	d.grants.basis, d.grants.events = d.control.serversCopy.fields, cfg.Events
 	d.grants.note = func(pool string, runners []string, blocks []uint64) {
 		d.control.emit(query{run: func(now time.Time) { d.control.host.NoteCache(now, pool, runners, blocks) }})
 	}
@@ -93,6 +97,7 @@
 	d.control.duties = d.newDuties(incarnation)
 	d.plain = newPlainScheduler(s.FailureDomain)
 	d.plain.servers = func(service string) []*registry.Server { return d.control.servers.Load().byService[service] }
+	d.plain.basis = d.control.serversCopy.fields
 	d.budget = newRetryBudget(s.Retry, d.shares)
 	d.dispatcher = &dispatch.Dispatcher{
 		Scheduler: scheduler{engines: d.grants, plain: d.plain, server: d.server},
@@ -101,6 +106,7 @@
 		Usage:     d,
 		Events:    cfg.Events,
 	}
+	d.metrics = d.newMetrics()
 	return d
 }
 
@@ -293,12 +299,15 @@
 
 // listen serves clients and the readiness check.
 func (d *Daemon) listen() (clients *http.Server, failed chan error, err error) {
-	failed = make(chan error, 2)
+	failed = make(chan error, 3)
 	clients = &http.Server{Handler: d.Front(d)}
 	servers := map[string]*http.Server{
 		d.Settings.Clients:   clients,
 		d.Settings.Readiness: {Handler: http.HandlerFunc(d.readiness)},
 	}
+	if addr := d.Settings.Metrics; addr != "" {
+		servers[addr] = &http.Server{Handler: d.metricsRoutes()}
+	}
 	for addr, server := range servers {
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -325,6 +334,15 @@
 	return feeds
 }
 
+// metricsPath is where the metrics address serves the metrics.
+const metricsPath = "/metrics"
+
+func (d *Daemon) metricsRoutes() http.Handler {
+	routes := mux.NewRouter()
+	routes.HandleFunc(metricsPath, d.ServeMetrics).Methods(http.MethodGet)
+	return routes
+}
+
 func (d *Daemon) readiness(w http.ResponseWriter, _ *http.Request) {
 	if d.stopping.Load() || d.Catalog() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -86,6 +86,7 @@
 		age := now.Sub(f.replica.Fresh())
 		f.follower.allow(reader || f.replica.End() == hosting.NoOffset || age > limit)
 		if feedID(id) == feedServers && f.replica.End() != hosting.NoOffset {
+			c.serversCopy.set(f.replica.End(), f.replica.Fresh())
 			c.storeAway(now, age > limit+lostMargin)
 		}
 	}
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/dispatch"
+	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/pool"
 	"github.com/mimosakeel/mimosakeel/registry"
@@ -48,6 +49,9 @@
 	server func(id string) *registry.Server
 	send   func(vm string, m peer.Message)
 	note   func(pool string, runners []string, blocks []uint64)
+	// basis tells the version and age of the list of servers, for logs.
+	basis  func() []event.Field
+	events *event.Recorder
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
@@ -70,6 +74,7 @@
 	return &grants{
 		vm:      vm,
 		domain:  domain,
+		basis:   func() []event.Field { return nil },
 		waiting: map[string]chan *schedule.GrantReply{},
 		silent:  map[string]time.Time{},
 	}
@@ -86,11 +91,11 @@
 		}
 		n.Avoid = append(n.Avoid, unusable)
 	}
-	return nil, noServer()
+	return nil, noServer(g.basis()...)
 }
 
-func noServer() *dispatch.Failure {
-	return &dispatch.Failure{Run: backend.RunNot, Reason: "no_server", RetryAfter: noServerRetry}
+func noServer(inputs ...event.Field) *dispatch.Failure {
+	return &dispatch.Failure{Run: backend.RunNot, Reason: "no_server", RetryAfter: noServerRetry, Inputs: inputs}
 }
 
 func (g *grants) placeOnce(ctx context.Context, n dispatch.Need) (place *dispatch.Placement, unusable string, err error) {
@@ -98,7 +103,7 @@
 	request := poolRequest(id, g.vm, g.domain, n)
 	route, ok := g.route(n.Request.Service.Name, &request)
 	if !ok {
-		return nil, "", noServer()
+		return nil, "", noServer(g.basis()...)
 	}
 	scheduler, reply, err := g.ask(ctx, route, request)
 	if err != nil {
@@ -106,7 +111,7 @@
 	}
 	if reply.Kind == schedule.ReplyRefused {
 		grantsRefused.Inc()
-		return nil, "", refusal(reply.Refused)
+		return nil, "", refusal(reply.Refused, g.inputs(route, scheduler))
 	}
 	t := &ticket{pool: route.name, scheduler: scheduler, number: reply.Granted.Ticket, granted: time.Now()}
 	place, unusable = g.placement(t, reply.Granted)
@@ -114,12 +119,18 @@
 		g.release(t, "")
 		return nil, unusable, nil
 	}
+	place.Inputs = append(g.inputs(route, scheduler), event.F("expected_first", reply.Granted.FirstToken.Round(time.Millisecond).String()))
 	if scheduler != g.vm {
 		g.note(route.name, []string{reply.Granted.Runner, reply.Granted.Prefill}, request.Blocks)
 	}
 	return place, "", nil
 }
 
+// inputs tells which scheduler decided by which list of servers.
+func (g *grants) inputs(route poolRoute, scheduler string) []event.Field {
+	return append(g.basis(), event.F("pool", route.name), event.F("scheduler", scheduler))
+}
+
 // route returns the pool of a request: requests that share a prefix share a
 // pool.
 func (g *grants) route(service string, request *pool.Request) (poolRoute, bool) {
@@ -162,6 +173,8 @@
 				continue
 			}
 			g.markSilent(scheduler)
+			g.events.Record(event.KindFault, "scheduler_silent", scheduler, event.F("pool", route.name),
+				event.F("after", schedulerSilence.String()), event.F("not_asked_for", silentFor.String()))
 			g.send(scheduler, &schedule.GrantCancel{Pool: route.name, Request: request.ID})
 			scheduler = g.vm
 			grantsFallback.Inc()
@@ -267,6 +280,7 @@
 }
 
 // refusal translates a pool's refusal.
-func refusal(r pool.Refused) *dispatch.Failure {
-	return &dispatch.Failure{Run: backend.RunNot, Reason: "pool_" + string(r.Reason), RetryAfter: r.RetryAfter}
+func refusal(r pool.Refused, inputs []event.Field) *dispatch.Failure {
+	inputs = append(inputs, event.F("queued", strconv.Itoa(r.Queued)), event.F("engines", strconv.Itoa(r.Runners)))
+	return &dispatch.Failure{Run: backend.RunNot, Reason: "pool_" + string(r.Reason), RetryAfter: r.RetryAfter, Inputs: inputs}
 }
--- /dev/null
+++ b/edge/observe.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/member"
+)
+
+// copyState is the version and the age of the copy of a topic, for the lines of
+// requests that were placed by it.
+type copyState struct {
+	end   atomic.Int64
+	fresh atomic.Int64
+}
+
+func (s *copyState) set(end int64, fresh time.Time) {
+	s.end.Store(end)
+	s.fresh.Store(fresh.UnixNano())
+}
+
+// fields returns the end offset of the copy and the time since it was known to
+// be complete.
+func (s *copyState) fields() []event.Field {
+	end := s.end.Load()
+	if end == hosting.NoOffset {
+		return []event.Field{event.F("servers", "none")}
+	}
+	age := time.Since(time.Unix(0, s.fresh.Load()))
+	return []event.Field{
+		event.F("servers", "offset "+formatInt(end)),
+		event.F("servers_age", age.Round(time.Millisecond).String()),
+	}
+}
+
+// newMetrics returns the metrics of the daemon itself. Its labels are the fixed
+// names of topics.
+func (d *Daemon) newMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	set.NewGauge("mimosakeel_edge_requests_open", func() float64 { return float64(d.active.Load()) })
+	set.NewGauge("mimosakeel_edge_members_live", func() float64 { return float64(d.control.view.Load().live.Len()) })
+	set.NewGauge("mimosakeel_edge_servers", func() float64 { return float64(len(d.control.servers.Load().byID)) })
+	set.NewGauge("mimosakeel_edge_servers_age_seconds", func() float64 {
+		return time.Since(time.Unix(0, d.control.serversCopy.fresh.Load())).Seconds()
+	})
+	set.NewGauge("mimosakeel_edge_config_version", func() float64 {
+		if c := d.Catalog(); c != nil {
+			return float64(c.Version())
+		}
+		return 0
+	})
+	set.NewGauge("mimosakeel_edge_inbox_length", func() float64 { return float64(len(d.control.inbox)) })
+	set.NewGauge("mimosakeel_edge_events_dropped", func() float64 { return float64(d.Events.Dropped()) })
+	return set
+}
+
+// ServeMetrics writes the metrics of the daemon and of the process as text.
+func (d *Daemon) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	d.metrics.WritePrometheus(w)
+	metrics.WritePrometheus(w, true)
+}
+
+// maxNamed bounds the members that one log line names.
+const maxNamed = 16
+
+// memberChange names the members that joined and left.
+func memberChange(old, next *member.Set) []event.Field {
+	return []event.Field{
+		event.F("live", formatInt(int64(next.Len()))),
+		event.F("joined", missing(next, old)),
+		event.F("left", missing(old, next)),
+	}
+}
+
+// missing names the members of a set that another set lacks.
+func missing(of, in *member.Set) string {
+	var out []string
+	for _, vm := range of.IDs() {
+		if !in.Contains(vm) && len(out) < maxNamed {
+			out = append(out, vm)
+		}
+	}
+	return strings.Join(out, ",")
+}
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mimosakeel/mimosakeel/dispatch"
+	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/registry"
 )
 
@@ -27,6 +28,8 @@
 type plainScheduler struct {
 	domain  string
 	servers func(service string) []*registry.Server
+	// basis tells the version and age of the list of servers, for logs.
+	basis func() []event.Field
 
 	mu    sync.Mutex
 	state map[string]*plainState
@@ -40,7 +43,7 @@
 }
 
 func newPlainScheduler(domain string) *plainScheduler {
-	return &plainScheduler{domain: domain, state: map[string]*plainState{}}
+	return &plainScheduler{domain: domain, state: map[string]*plainState{}, basis: func() []event.Field { return nil }}
 }
 
 func (s *plainState) faults(now time.Time) float64 {
@@ -64,10 +67,12 @@
 		}
 	}
 	if best == nil {
-		return nil, noServer()
+		return nil, noServer(p.basis()...)
 	}
+	inputs := append(p.basis(), event.F("open", formatInt(int64(p.of(best.ID).open))),
+		event.F("faults", formatRatio(p.of(best.ID).faults(now))))
 	p.of(best.ID).open++
-	return &dispatch.Placement{Server: best}, nil
+	return &dispatch.Placement{Server: best, Inputs: inputs}, nil
 }
 
 // tieBreak spreads requests over servers of equal cost.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,6 +24,9 @@
 	// Readiness is the TCP address of the readiness check. Unit: IP:port.
 	// Default: none, required.
 	Readiness string `json:"readiness"`
+	// Metrics is the TCP address that serves the metrics under /metrics; empty for
+	// none. Unit: IP:port. Default: none.
+	Metrics string `json:"metrics"`
 	// Peers is the UDP address for other daemons. Unit: IP:port. Default: none,
 	// required.
 	Peers string `json:"peers"`
@@ -141,6 +144,9 @@
 		}
 	}
 	addresses := map[string]string{"clients": s.Clients, "readiness": s.Readiness, "peers": s.Peers, "store": s.Store, "cloud": s.Cloud}
+	if s.Metrics != "" {
+		addresses["metrics"] = s.Metrics
+	}
 	for name, value := range addresses {
 		if _, err := netip.ParseAddrPort(value); err != nil {
 			d.Report(name, "must be an address IP:port")
--- a/edge/text.go
+++ b/edge/text.go
@@ -9,6 +9,8 @@
 
 func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
 
+func formatRatio(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
+
 func formatBool(b bool) string { return strconv.FormatBool(b) }
 
 // decay is the share of a value that is left after a time.
--- a/event/logger.go
+++ b/event/logger.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 
 	"github.com/go-logfmt/logfmt"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
 )
 
 // NewLogger returns a logger that writes one key=value line per event to out.
@@ -38,33 +38,53 @@
 	return len(line), nil
 }
 
-func convert(out io.Writer, line []byte) error {
-	decoder := json.NewDecoder(bytes.NewReader(line))
-	decoder.UseNumber()
-	if _, err := decoder.Token(); err != nil {
-		return err
+func convert(out *bytes.Buffer, line []byte) error {
+	object := gjson.ParseBytes(line)
+	if !object.IsObject() {
+		return eris.New("log line is no JSON object")
 	}
 	encoder := logfmt.NewEncoder(out)
-	for decoder.More() {
-		key, err := decoder.Token()
-		if err != nil {
-			return err
-		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return err
-		}
-		if err := encoder.EncodeKeyval(key, plain(value)); err != nil {
-			return err
-		}
+	var err error
+	object.ForEach(func(key, value gjson.Result) bool {
+		err = encoder.EncodeKeyval(key.String(), value.String())
+		return err == nil
+	})
+	if err != nil {
+		return err
 	}
 	return encoder.EndRecord()
 }
 
-func plain(value json.RawMessage) string {
-	var text string
-	if json.Unmarshal(value, &text) == nil {
-		return text
+// maxCollected bounds the bytes that a LineBuffer collects.
+const maxCollected = 32 << 10
+
+// LineBuffer collects log lines and writes them together. It is not safe for
+// concurrent use.
+type LineBuffer struct {
+	out   io.Writer
+	lines []byte
+}
+
+// NewLineBuffer returns a buffer that writes to out.
+func NewLineBuffer(out io.Writer) *LineBuffer { return &LineBuffer{out: out} }
+
+// Write implements io.Writer; each call holds one line.
+func (b *LineBuffer) Write(line []byte) (int, error) {
+	if len(b.lines)+len(line) > maxCollected {
+		if err := b.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	b.lines = append(b.lines, line...)
+	return len(line), nil
+}
+
+// Flush writes the collected lines. They are lost if it fails.
+func (b *LineBuffer) Flush() error {
+	if len(b.lines) == 0 {
+		return nil
 	}
-	return string(value)
+	_, err := b.out.Write(b.lines)
+	b.lines = b.lines[:0]
+	return err
 }
--- a/pool/admit.go
+++ b/pool/admit.go
@@ -121,7 +121,7 @@
 }
 
 func (p *Pool) refuse(w *waiting, reason Reason, retry time.Duration) {
-	p.act(Refused{Entry: w.request.Entry, Request: w.request.ID, Reason: reason, RetryAfter: retry})
+	p.act(Refused{Entry: w.request.Entry, Request: w.request.ID, Reason: reason, RetryAfter: retry, Queued: p.queue.count, Runners: len(p.slots)})
 }
 
 // reject decides whether a new request has to be refused.
--- a/pool/event.go
+++ b/pool/event.go
@@ -211,6 +211,9 @@
 	// RetryAfter is the time after which the request would be admitted if
 	// nothing else arrived; 0 if a retry is useless.
 	RetryAfter time.Duration
+	// Queued is the number of waiting requests, Runners that of the pool's
+	// runners, both when it was decided.
+	Queued, Runners int
 }
 
 // Expired tells that a ticket ended without release.
