Wrong usage ends with 2 in all three programs

mimosakeel-load and mimosakeel-standin printed their help and ended with 0 on an unknown sub-command, which scripts take for success.

--- a/cmd/mimosakeel-standin/main.go
+++ b/cmd/mimosakeel-standin/main.go
@@ -3,22 +3,17 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/mimosakeel/mimosakeel/internal/cli"
 	"github.com/mimosakeel/mimosakeel/standin"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	err := standin.Command(os.Stdout).ParseAndRun(ctx, os.Args[1:])
-	if err != nil && !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintf(os.Stderr, "event=failed error=%q\n", err)
-		os.Exit(1)
-	}
+	code := cli.Run(ctx, os.Stderr, standin.Command(os.Stdout), os.Args[1:])
+	stop()
+	os.Exit(code)
 }
--- a/command/command.go
+++ b/command/command.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -17,15 +16,14 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/internal/cli"
 )
 
 // Exit codes of Run.
 const (
-	ExitOK = 0
-	// ExitFailed means that the command was understood, but failed.
-	ExitFailed = 1
-	// ExitUsage means that the command line is wrong; nothing was done.
-	ExitUsage = 2
+	ExitOK     = cli.ExitOK
+	ExitFailed = cli.ExitFailed
+	ExitUsage  = cli.ExitUsage
 )
 
 // httpTimeout bounds one request to a daemon or to the platform. It exceeds the
@@ -75,51 +73,18 @@
 		ShortHelp:  "Serve language-model requests and operate the serving system.",
 		LongHelp:   "Exit codes: 0 done, 1 failed, 2 wrong usage. `mimosakeel <subcommand> -h` explains a sub-command.",
 		FlagSet:    env.Flags("mimosakeel"),
+		Exec:       cli.NeedSubcommand,
 	}
 	for _, build := range append(builders(), extra...) {
 		root.Subcommands = append(root.Subcommands, build(env))
 	}
-	return env.exitCode(root.Parse(args), func() error { return root.Run(ctx) })
-}
-
-// exitCode turns the result of parsing, and of run if parsing succeeded, into
-// an exit code and prints the error.
-func (env *Env) exitCode(parseErr error, run func() error) int {
-	var noExec ffcli.NoExecError
-	switch {
-	case errors.Is(parseErr, flag.ErrHelp):
-		return ExitOK
-	case errors.As(parseErr, &noExec):
-		noExec.Command.FlagSet.Usage()
-		return ExitUsage
-	case parseErr != nil:
-		return ExitUsage // The flag set has printed the error and the usage.
-	}
-	err := run()
-	var usage *UsageError
-	switch {
-	case err == nil:
-		return ExitOK
-	case errors.As(err, &usage):
-		fmt.Fprintf(env.Stderr, "wrong usage: %v\n", err)
-		return ExitUsage
-	default:
-		fmt.Fprintln(env.Stderr, err)
-		return ExitFailed
-	}
+	return cli.Run(ctx, env.Stderr, root, args)
 }
 
 // UsageError reports a wrong command line.
-type UsageError struct {
-	Message string
-}
-
-// Error returns the message.
-func (e *UsageError) Error() string { return e.Message }
+type UsageError = cli.UsageError
 
-func usagef(format string, args ...any) error {
-	return &UsageError{fmt.Sprintf(format, args...)}
-}
+func usagef(format string, args ...any) error { return cli.Usagef(format, args...) }
 
 // Flags returns an empty flag set that prints to Stderr and never exits.
 func (env *Env) Flags(name string) *flag.FlagSet {
--- a/load/command.go
+++ b/load/command.go
@@ -11,6 +11,8 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
+
+	"github.com/mimosakeel/mimosakeel/internal/cli"
 )
 
 // Command returns the command with the sub-command run, which writes its
@@ -21,7 +23,7 @@
 		ShortUsage:  "mimosakeel-load run [flags]",
 		ShortHelp:   "generate load and check the answers",
 		Subcommands: []*ffcli.Command{runCommand(out)},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Exec:        cli.NeedSubcommand,
 	}
 }
 
--- a/standin/command.go
+++ b/standin/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosakeel/mimosakeel/backend"
 	root "github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/internal/cli"
 	"github.com/mimosakeel/mimosakeel/standin/engine"
 	"github.com/mimosakeel/mimosakeel/standin/platform"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -32,7 +33,7 @@
 			appCommand(out),
 			platformCommand(out),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: cli.NeedSubcommand,
 	}
 }
 
