explain: the way of a request and its cause, from the logs of several daemons

mimosakeel explain REQUEST-ID [FILE...] prints the lines of a request in order, what its process believed of the servers, configuration and members that the lines name, the faults of the same processes around it, and what the logs do not hold. Cut, interleaved and prefixed lines and clocks that went back are named and passed over. timeline reads the same logs.

--- a/command/command.go
+++ b/command/command.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -32,6 +33,7 @@
 
 // Env is what the sub-commands use of the world outside.
 type Env struct {
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 	// Now is the wall clock.
@@ -47,6 +49,7 @@
 // NewEnv returns the environment of a real process, without NewLog.
 func NewEnv(stdout, stderr io.Writer) *Env {
 	return &Env{
+		Stdin:  os.Stdin,
 		Stdout: stdout,
 		Stderr: stderr,
 		Now:    time.Now,
@@ -61,7 +64,7 @@
 
 // builders are the sub-commands of this package.
 func builders() []Builder {
-	return []Builder{checkCommand, tableCommand, keysCommand, statusCommand, timelineCommand}
+	return []Builder{checkCommand, tableCommand, keysCommand, statusCommand, timelineCommand, explainCommand}
 }
 
 // Run parses and runs a command line without the program's name and returns the
--- a/command/timeline.go
+++ b/command/timeline.go
@@ -17,7 +17,7 @@
 	return &ffcli.Command{
 		Name:       "timeline",
 		ShortUsage: "mimosakeel timeline [-html PAGE] FILE...",
-		ShortHelp:  "Merge the event files of several daemons.",
+		ShortHelp:  "Merge the event files or logs of several daemons.",
 		LongHelp:   "Lines that can't be read, such as the last one of a killed daemon, are named and skipped.",
 		FlagSet:    flags,
 		Exec: func(_ context.Context, args []string) error {
@@ -30,15 +30,11 @@
 }
 
 func (env *Env) timeline(names []string, html string) error {
-	var sources []event.Source
-	for _, name := range names {
-		file, err := os.Open(name)
-		if err != nil {
-			return eris.Wrap(err, "open event file")
-		}
-		defer func() { _ = file.Close() }()
-		sources = append(sources, event.Source{Name: name, Reader: file})
+	sources, closeAll, err := openSources(names)
+	if err != nil {
+		return err
 	}
+	defer closeAll()
 	events, problems := event.Merge(sources...)
 	for _, problem := range problems {
 		fmt.Fprintln(env.Stderr, problem)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -294,6 +294,7 @@
 		if err := c.answer.Event(ev.Data); err != nil {
 			return clientError(err)
 		}
+		c.times.event(time.Now())
 		if ev.ID != "" {
 			c.last = ev.ID
 		}
--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,8 +35,10 @@
 }
 
 // countReason counts failed attempts or requests. The reasons are constants of
-// this program, so that the number of label values is bounded.
+// this program, some with a status at their end, which is left out so that the
+// number of label values is bounded.
 func countReason(of, reason string) {
+	reason = strings.TrimRight(reason, "_0123456789")
 	metrics.GetOrCreateCounter("mimosakeel_dispatch_" + of + `_total{reason="` + reason + `"}`).Inc()
 }
 
@@ -43,12 +46,26 @@
 type times struct {
 	// first is the time of the first byte to the client; zero before it.
 	first time.Time
+	// events counts the events that the client got, the last one at lastEvent.
+	events    int
+	lastEvent time.Time
+	// longestGap is the longest time between two events.
+	longestGap time.Duration
 	// waited is the time that the request spent waiting for places.
 	waited time.Duration
 	// prefill is the time that was spent on reading the prompt apart.
 	prefill time.Duration
 }
 
+// event notes that the client got an event.
+func (t *times) event(now time.Time) {
+	if t.events > 0 {
+		t.longestGap = max(t.longestGap, now.Sub(t.lastEvent))
+	}
+	t.events++
+	t.lastEvent = now
+}
+
 // millis prints a duration with a resolution of 0.1 ms.
 func millis(d time.Duration) string { return d.Round(100 * time.Microsecond).String() }
 
@@ -86,11 +103,27 @@
 func (c *call) logServed(place *Placement, status int) {
 	took := time.Since(c.request.Arrived)
 	requestSeconds[endServed].Update(took.Seconds())
-	c.Events.Record(event.KindRequest, "served", c.request.ID,
+	fields := []event.Field{
+		event.F("route", c.request.Route.Name),
 		event.F("status", strconv.Itoa(status)), event.F("server", place.Server.ID),
 		event.F("sent", strconv.Itoa(c.sent)), event.F("waited", millis(c.times.waited)),
 		event.F("prefill", millis(c.times.prefill)), event.F("first_byte", millis(c.firstByte())),
-		event.F("took", millis(took)))
+		event.F("took", millis(took)),
+	}
+	c.Events.Record(event.KindRequest, "served", c.request.ID, append(fields, c.streamed()...)...)
+}
+
+// streamed tells how far a stream came.
+func (c *call) streamed() []event.Field {
+	if c.times.events == 0 {
+		return nil
+	}
+	return []event.Field{
+		event.F("events", strconv.Itoa(c.times.events)),
+		event.F("longest_gap", millis(c.times.longestGap)),
+		event.F("gap_target", millis(c.request.Route.MaxGap)),
+		event.F("silent", millis(time.Since(c.times.lastEvent))),
+	}
 }
 
 // logFailed tells why the answer is the system's own.
@@ -107,10 +140,13 @@
 		event.F("sent", strconv.Itoa(c.sent)),
 		event.F("of", strconv.Itoa(c.request.Route.MaxAttempts)),
 		event.F("waited", millis(c.times.waited)),
+		event.F("prefill", millis(c.times.prefill)),
+		event.F("first_byte", millis(c.firstByte())),
 		event.F("took", millis(took)),
 		event.F("left", millis(time.Until(c.request.Deadline))),
 		event.F("config", strconv.FormatInt(c.request.ConfigVersion, 10)),
 	}
+	fields = append(fields, c.streamed()...)
 	if f.Reason == reasonBudget {
 		repeats, allowed := c.Budget.State(c.request.Service.Name)
 		fields = append(fields, event.F("repeats", strconv.Itoa(repeats)), event.F("allowed", strconv.FormatFloat(allowed, 'f', 1, 64)))
--- a/event/merge.go
+++ b/event/merge.go
@@ -13,15 +13,15 @@
 	"github.com/rotisserie/eris"
 )
 
-// Source is the time line of one process.
+// Source holds the time line or the log of one or several processes.
 type Source struct {
 	// Name is used in messages.
 	Name   string
 	Reader io.Reader
 }
 
-// Merge reads all sources and returns their events in the order of their
-// timestamps. A line that can't be read, such as the last one of a killed
+// Merge reads all sources, of JSON lines or lines of the log, and returns their
+// events in the order of their timestamps. A line that can't be read, such as the last one of a killed
 // process, is skipped and reported in problems as NAME:LINE: reason.
 func Merge(sources ...Source) (events []Event, problems []error) {
 	for _, s := range sources {
@@ -39,18 +39,24 @@
 	scanner := bufio.NewScanner(s.Reader)
 	scanner.Buffer(nil, MaxLineBytes+1)
 	line := 0
+	latest := map[string]time.Time{}
 	for scanner.Scan() {
 		line++
 		text := bytes.TrimSpace(scanner.Bytes())
 		if len(text) == 0 {
 			continue
 		}
-		e, err := Decode(text)
-		if err != nil {
+		read, failed := readLine(text)
+		for _, e := range read {
+			if back := latest[e.Process].Sub(e.At.Time()); back > 0 {
+				failed = append(failed, eris.Errorf("the clock of %s went back by %s", e.Process, back))
+			}
+			latest[e.Process] = e.At.Time()
+		}
+		events = append(events, read...)
+		for _, err := range failed {
 			problems = append(problems, fmt.Errorf("%s:%d: %w", s.Name, line, err))
-			continue
 		}
-		events = append(events, e)
 	}
 	if err := scanner.Err(); err != nil {
 		problems = append(problems, eris.Wrapf(err, "%s:%d", s.Name, line+1))
@@ -58,6 +64,24 @@
 	return events, problems
 }
 
+// readLine reads the events of one line of text.
+func readLine(text []byte) (events []Event, problems []error) {
+	pieces, log := splitLine(text)
+	for _, piece := range pieces {
+		decode := Decode
+		if log {
+			decode = DecodeLog
+		}
+		e, err := decode(piece)
+		if err != nil {
+			problems = append(problems, eris.Wrapf(err, "%q", excerpt(piece)))
+			continue
+		}
+		events = append(events, e)
+	}
+	return events, problems
+}
+
 // timeLayout prints a wall clock time with milliseconds.
 const timeLayout = "15:04:05.000"
 
