--- a/edge/grants.go
+++ b/edge/grants.go
@@ -67,7 +67,10 @@
 	scheduler string
 	number    pool.Ticket
 	granted   time.Time
-	first     time.Duration
+	// runners hold the blocks of the prompt once the answer has begun.
+	runners []string
+	blocks  []uint64
+	first   time.Duration
 }
 
 func newGrants(vm, domain string) *grants {
@@ -120,9 +123,7 @@
 		return nil, unusable, nil
 	}
 	place.Inputs = append(g.inputs(route, scheduler), event.F("expected_first", reply.Granted.FirstToken.Round(time.Millisecond).String()))
-	if scheduler != g.vm {
-		g.note(route.name, []string{reply.Granted.Runner, reply.Granted.Prefill}, request.Blocks)
-	}
+	t.runners, t.blocks = []string{reply.Granted.Runner, reply.Granted.Prefill}, request.Blocks
 	return place, "", nil
 }
 
@@ -228,6 +229,9 @@
 	t := p.Ticket.(*ticket)
 	t.first = time.Since(t.granted)
 	g.progress(t, schedule.TicketProgress{Ticket: t.number, Tokens: 1, FirstToken: t.first})
+	if t.scheduler != g.vm {
+		g.note(t.pool, t.runners, t.blocks)
+	}
 }
 
 func (g *grants) progress(t *ticket, p schedule.TicketProgress) {
--- a/pool/config.go
+++ b/pool/config.go
@@ -127,3 +127,11 @@
 		NoRunnerRetry:   30 * time.Second,
 	}
 }
+
+// decodeReadFactor is how much slower a decode runner reads a prompt.
+func (c *Config) decodeReadFactor() float64 {
+	if !c.DecodeReads {
+		return 1
+	}
+	return max(c.DecodeReadFactor, 1)
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -281,7 +281,7 @@
 	t.aheadAt = t.prefiller.ahead(now) + float64(t.prefill)
 	p.open(now, t)
 	p.storeBlocks(t.prefiller, w.request.Blocks)
-	p.storeBlocks(t.runner, w.request.Blocks)
+	t.blocks = w.request.Blocks
 	p.act(p.granted(now, t, source, best))
 }
 
--- a/pool/runner.go
+++ b/pool/runner.go
@@ -75,6 +75,7 @@
 		// The prompts of granted requests are being read elsewhere; their streams
 		// come within a moment.
 		c.Streams = r.open
+		c.Wait *= cfg.decodeReadFactor()
 	}
 	c.Between = r.predict.between.at(float64(c.Streams + 1))
 	c.Up = r.up(now, cfg)
--- a/pool/ticket.go
+++ b/pool/ticket.go
@@ -17,16 +17,19 @@
 	priority Priority
 	runner   *runner
 	// prefiller reads the prompt; from the first token on it equals runner.
-	prefiller  *runner
-	prefill    int
-	decode     int
-	kv         int
-	kvPrefill  int
-	prompt     int
-	limit      int
-	produced   int
-	charged    float64
-	started    bool
+	prefiller *runner
+	prefill   int
+	decode    int
+	kv        int
+	kvPrefill int
+	prompt    int
+	limit     int
+	produced  int
+	charged   float64
+	started   bool
+	// blocks are the prefix blocks of the prompt, which the runner holds once it
+	// has started.
+	blocks     []uint64
 	granted    time.Time
 	touched    time.Time
 	aheadAt    float64
@@ -192,6 +195,7 @@
 	}
 	if !t.started {
 		p.learnFirst(now, t, ev.FirstToken)
+		p.storeBlocks(t.runner, t.blocks)
 	}
 	p.start(now, t)
 	if ev.BetweenTokens > 0 && ev.Tokens > t.produced {
