--- a/command/check.go
+++ b/command/check.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
 
+	"github.com/mimosakeel/mimosakeel/edge"
 	"github.com/mimosakeel/mimosakeel/settings"
 	"github.com/mimosakeel/mimosakeel/table"
 )
@@ -15,10 +16,11 @@
 func checkCommand(env *Env) *ffcli.Command {
 	flags := env.Flags("check")
 	tableFile := flags.String("table", "", "table `file` to check")
+	edgeSettings := flags.Bool("edge", false, "the settings files are those of edge daemons")
 	files := flags.Bool("files", false, "also read the certificate files that the settings name")
 	return &ffcli.Command{
 		Name:       "check",
-		ShortUsage: "mimosakeel check [-files] [-table TABLE] [SETTINGS...]",
+		ShortUsage: "mimosakeel check [-edge] [-files] [-table TABLE] [SETTINGS...]",
 		ShortHelp:  "Check settings files and a table file.",
 		LongHelp:   "Reports every problem with file, line and name. Contacts nothing.",
 		FlagSet:    flags,
@@ -26,12 +28,16 @@
 			if len(args) == 0 && *tableFile == "" {
 				return usagef("name a settings file or -table")
 			}
-			return env.check(args, *tableFile, *files)
+			check := func(name string) error { return checkSettings(name, *files) }
+			if *edgeSettings {
+				check = checkEdgeSettings
+			}
+			return env.check(args, *tableFile, check)
 		},
 	}
 }
 
-func (env *Env) check(settingsFiles []string, tableFile string, files bool) error {
+func (env *Env) check(settingsFiles []string, tableFile string, check func(name string) error) error {
 	failed := 0
 	report := func(name string, err error) {
 		if err == nil {
@@ -42,7 +48,7 @@
 		fmt.Fprintln(env.Stderr, err)
 	}
 	for _, name := range settingsFiles {
-		report(name, checkSettings(name, files))
+		report(name, check(name))
 	}
 	if tableFile != "" {
 		_, err := readTable(tableFile)
@@ -62,6 +68,11 @@
 	return s.CheckFiles(name).Err()
 }
 
+func checkEdgeSettings(name string) error {
+	_, err := edge.LoadSettings(name)
+	return err
+}
+
 func readTable(name string) (table.File, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -95,7 +95,7 @@
 		gomega.Expect(r.err).NotTo(gomega.BeEmpty())
 	},
 		ginkgo.Entry("nothing"), ginkgo.Entry("unknown", "bogus"), ginkgo.Entry("group alone", "table"),
-		ginkgo.Entry("flag", "check", "-nope"), ginkgo.Entry("no log", "table", "show"),
+		ginkgo.Entry("flag", "check", "-nope"), ginkgo.Entry("no id", "explain"), ginkgo.Entry("no log", "table", "show"),
 		ginkgo.Entry("no file", "table", "publish", "-log", "x"), ginkgo.Entry("no url", "status"),
 		ginkgo.Entry("secret as hash", "keys", "withdraw", "-log", "x", "mk-secret"),
 		ginkgo.Entry("no VM", "keys", "peer-cert", "-days", "1"),
@@ -103,7 +103,7 @@
 
 	// Guards against a sub-command without an explanation.
 	ginkgo.It("explains every sub-command", func() {
-		for _, name := range []string{"check", "table show", "table diff", "table publish", "keys new", "keys withdraw", "keys peer-ca", "keys peer-cert", "status", "timeline"} {
+		for _, name := range []string{"check", "table show", "table diff", "table publish", "keys new", "keys withdraw", "keys peer-ca", "keys peer-cert", "status", "timeline", "explain"} {
 			r := run(nil, append(strings.Fields(name), "-h")...)
 			gomega.Expect(r.code).To(gomega.Equal(command.ExitOK), name)
 			gomega.Expect(r.err).To(gomega.ContainSubstring("DESCRIPTION"), name)
@@ -138,6 +138,43 @@
 		gomega.Expect(r.err).To(gomega.ContainSubstring("lease: unknown name"))
 		gomega.Expect(r.out).To(gomega.ContainSubstring("examples/mimosakeel.json: ok"))
 	})
+
+	// Guards against settings of an edge daemon that are checked as those of serve.
+	ginkgo.It("checks settings of edge daemons", func() {
+		bad := write("edge.json", `{"vm": "a", "lease": "0s", "retry": {"ratios": 1}}`)
+		r := run(nil, "check", "-edge", bad)
+		gomega.Expect(r.code).To(gomega.Equal(command.ExitFailed))
+		gomega.Expect(r.err).To(gomega.ContainSubstring("retry.ratios"))
+		gomega.Expect(r.err).To(gomega.ContainSubstring("clients: must be an address"))
+		gomega.Expect(r.err).To(gomega.ContainSubstring("lease: must be positive"))
+	})
+})
+
+var _ = ginkgo.Describe("explain", func() {
+	const lines = "level=info at=1700000000000.0 process=vm-a kind=request what=failed id=r1 reason=no_server run=not_run time=2023-11-14T22:13:20Z\n" +
+		"level=info at=1700000000001.0 process=vm-a kind=requ"
+
+	// Guards against a cut log that hides the request, and against an unknown id
+	// that looks like an answer.
+	ginkgo.It("tells the cause, names bad lines and goes on", func() {
+		log := write("vm-a.log", lines)
+		r := run(nil, "explain", "r1", log)
+		gomega.Expect(r.code).To(gomega.Equal(command.ExitOK))
+		gomega.Expect(r.out).To(gomega.ContainSubstring("cause: no_server: the process knew no usable server"))
+		gomega.Expect(r.err).To(gomega.ContainSubstring("vm-a.log:2: "))
+		r = run(nil, "explain", "r2", log)
+		gomega.Expect(r.code).To(gomega.Equal(command.ExitFailed))
+		gomega.Expect(r.out).To(gomega.ContainSubstring("missing: no line names the request"))
+	})
+
+	// Guards against logs that can only be read from files.
+	ginkgo.It("reads standard input", func() {
+		var out, errs bytes.Buffer
+		env := command.NewEnv(&out, &errs)
+		env.Stdin = strings.NewReader(lines)
+		gomega.Expect(command.Run(context.Background(), env, []string{"explain", "r1"})).To(gomega.Equal(command.ExitOK))
+		gomega.Expect(out.String()).To(gomega.ContainSubstring("request r1"))
+	})
 })
 
 var _ = ginkgo.Describe("table", func() {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -71,7 +71,7 @@
 
 // UsageSettings configure usage reports. All daemons need equal values.
 type UsageSettings struct {
-	// Window is the length of a window. Unit: duration. Default: 1m.
+	// Window is the length of a window. Unit: duration. Default: 1m0s.
 	Window time.Duration `json:"window"`
 	// Grace is the time from a window's end until its figures are fixed. Unit:
 	// duration. Default: 2s.
--- /dev/null
+++ b/internal/settingsdoc/settingsdoc.go
@@ -0,0 +1,106 @@
+// Package settingsdoc writes the reference of settings from the doc comments of
+// their struct fields, which end with "Unit: u. Default: d.".
+package settingsdoc
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"strings"
+)
+
+// Description describes one setting.
+type Description struct {
+	// Name is the full name as used in messages, such as lease.duration.
+	Name string
+	// Text is the doc comment of the field without its unit and default.
+	Text    string
+	Unit    string
+	Default string
+}
+
+// Describe returns all settings of a struct in the order of its fields, from
+// the source that declares it. The fields of structs within it are settings of
+// a section; sections have no sections. It panics on a source that is no Go.
+func Describe(source string, settings reflect.Type) []Description {
+	comments := fieldComments(source)
+	var all []Description
+	for i := range settings.NumField() {
+		field := settings.Field(i)
+		name := field.Tag.Get("json")
+		if field.Type.Kind() != reflect.Struct {
+			all = append(all, describe(comments, settings, field, name))
+			continue
+		}
+		for j := range field.Type.NumField() {
+			inner := field.Type.Field(j)
+			all = append(all, describe(comments, field.Type, inner, name+"."+inner.Tag.Get("json")))
+		}
+	}
+	return all
+}
+
+func describe(comments map[string]string, of reflect.Type, field reflect.StructField, name string) Description {
+	d := parseComment(comments[of.Name()+"."+field.Name], field.Name)
+	d.Name = name
+	return d
+}
+
+// fieldComments returns the doc comment of each field as Type.Field.
+func fieldComments(source string) map[string]string {
+	file, err := parser.ParseFile(token.NewFileSet(), "", source, parser.ParseComments)
+	if err != nil {
+		panic(err) // The source is embedded in the package that declares it.
+	}
+	comments := map[string]string{}
+	ast.Inspect(file, func(node ast.Node) bool {
+		spec, ok := node.(*ast.TypeSpec)
+		if !ok {
+			return true
+		}
+		structure, ok := spec.Type.(*ast.StructType)
+		if !ok {
+			return false
+		}
+		for _, field := range structure.Fields.List {
+			comments[spec.Name.Name+"."+field.Names[0].Name] = strings.Join(strings.Fields(field.Doc.Text()), " ")
+		}
+		return false
+	})
+	return comments
+}
+
+// parseComment splits "Name is what. Unit: u. Default: d." into its parts.
+func parseComment(comment, field string) Description {
+	text, rest, _ := strings.Cut(comment, " Unit: ")
+	unit, value, _ := strings.Cut(rest, ". Default: ")
+	text = strings.TrimPrefix(strings.TrimPrefix(text, field+" "), "is ")
+	if text != "" {
+		text = strings.ToUpper(text[:1]) + text[1:]
+	}
+	return Description{Text: text, Unit: unit, Default: strings.TrimSuffix(value, ".")}
+}
+
+// Tables returns a table in Markdown per section, with a heading each but for
+// the settings of no section.
+func Tables(all []Description) string {
+	var b strings.Builder
+	section := "none yet"
+	for _, d := range all {
+		name, _, inSection := strings.Cut(d.Name, ".")
+		if !inSection {
+			name = ""
+		}
+		if name != section {
+			section = name
+			if name != "" {
+				fmt.Fprintf(&b, "\n## %s\n", section)
+			}
+			b.WriteString("\n| setting | meaning | unit | default |\n|---|---|---|---|\n")
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.Name, d.Text, d.Unit, d.Default)
+	}
+	return b.String()
+}
