soak: daemons as processes under random faults, checked from outside

mimosakeel-load soak starts the stand-in of the users' platform, daemons as separate processes, and clients; a seed draws faults of processes (signals), links (relays that cut, silence, freeze, delay and reset), the store, backend servers and the operator, which overlap and come in series. Promises are checked from what clients and backend servers saw.

--- a/cmd/mimosakeel-load/main.go
+++ b/cmd/mimosakeel-load/main.go
@@ -1,4 +1,5 @@
-// Command mimosakeel-load generates load with package load.
+// Command mimosakeel-load generates load with package load, compares policies,
+// and runs the fault soak.
 package main
 
 import (
@@ -10,13 +11,14 @@
 	"github.com/mimosakeel/mimosakeel/internal/cli"
 	"github.com/mimosakeel/mimosakeel/load"
 	"github.com/mimosakeel/mimosakeel/load/compare"
+	"github.com/mimosakeel/mimosakeel/platform/soak"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	root := load.Command(os.Stdout)
-	root.ShortUsage = "mimosakeel-load run|compare [flags]"
-	root.Subcommands = append(root.Subcommands, compare.Command(os.Stdout))
+	root.ShortUsage = "mimosakeel-load run|compare|soak [flags]"
+	root.Subcommands = append(root.Subcommands, compare.Command(os.Stdout), soak.Command(os.Stdout))
 	code := cli.Run(ctx, os.Stderr, root, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/proof/bench_test.go
+++ b/proof/bench_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/hosting/httpapi"
+	"github.com/mimosakeel/mimosakeel/internal/relay"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/standin/engine"
 )
@@ -63,7 +64,7 @@
 	release             func()
 	vm, domain          string
 	listen, peers, file string
-	platformFace        *tcpRelay
+	platformFace        *relay.Relay
 	peerFace            *udpRelay
 	mu                  sync.Mutex
 	proc                *process
@@ -77,7 +78,7 @@
 	server hosting.Server
 	proc   *process
 	url    string
-	face   *tcpRelay
+	face   *relay.Relay
 	// leaving is the time of the notice in milliseconds.
 	leaving int64
 }
@@ -93,7 +94,7 @@
 	name, id string
 	proc     *process
 	url      string
-	face     *tcpRelay
+	face     *relay.Relay
 }
 
 func (m *member) url() string { return "http://" + m.listen }
@@ -196,7 +197,7 @@
 		var err error
 		a.proc, a.url, err = startStandin(a.id, "app", "-name", name)
 		must(b.t, err)
-		a.face, err = startTCPRelay(strings.TrimPrefix(a.url, "http://"))
+		a.face, err = relay.Start(strings.TrimPrefix(a.url, "http://"))
 		must(b.t, err)
 		b.apps = append(b.apps, a)
 	}
@@ -208,7 +209,7 @@
 		args = append(args, "-vm", m.vm+","+m.peerFace.addr()+","+m.domain)
 	}
 	for i, a := range b.apps {
-		args = append(args, "-app", fmt.Sprintf("%s,%s,%s,%s", a.id, a.name, domains[i%len(domains)], a.face.url()))
+		args = append(args, "-app", fmt.Sprintf("%s,%s,%s,%s", a.id, a.name, domains[i%len(domains)], a.face.URL()))
 	}
 	var err error
 	b.platform, b.platformURL, err = startStandin("platform", args...)
@@ -228,10 +229,10 @@
 	}
 	proc, url, err := startStandin(id, args...)
 	must(b.t, err)
-	face, err := startTCPRelay(strings.TrimPrefix(url, "http://"))
+	face, err := relay.Start(strings.TrimPrefix(url, "http://"))
 	must(b.t, err)
 	e := &engineServer{proc: proc, url: url, face: face, server: hosting.Server{
-		ID: id, FailureDomain: domain, Class: class, Kind: hosting.KindEngine, URL: face.url(),
+		ID: id, FailureDomain: domain, Class: class, Kind: hosting.KindEngine, URL: face.URL(),
 		State: hosting.ServerLive, ChecksFence: checksFence,
 	}}
 	b.mu.Lock()
@@ -244,10 +245,10 @@
 // endEngine cuts an engine off, keeps its audit and ends its process. Callers
 // see a crash.
 func (b *bench) endEngine(e *engineServer) {
-	e.face.set(relayCut)
+	e.face.Set(relay.Cut)
 	record := b.engineAudit(e)
 	e.proc.kill()
-	e.face.close()
+	e.face.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended = append(b.ended, record)
@@ -263,7 +264,7 @@
 // prepareMember writes the settings and keys of a daemon.
 func (b *bench) prepareMember(m *member) {
 	var err error
-	m.platformFace, err = startTCPRelay(strings.TrimPrefix(b.platformURL, "http://"))
+	m.platformFace, err = relay.Start(strings.TrimPrefix(b.platformURL, "http://"))
 	must(b.t, err)
 	dir := filepath.Join(binaries.dir, fmt.Sprintf("%s-%d", m.vm, processSerial.Add(1)))
 	must(b.t, os.MkdirAll(dir, 0o700))
@@ -283,7 +284,7 @@
 		"peers": section{
 			"listen": m.peers, "ca": write("ca.pem", ca), "cert": write("cert.pem", cert), "key": write("key.pem", key),
 		},
-		"platform": section{"url": m.platformFace.url(), "orders_check_fence": true, "usage_checks_fence": true},
+		"platform": section{"url": m.platformFace.URL(), "orders_check_fence": true, "usage_checks_fence": true},
 		"log":      section{"retention": "2m"},
 		"lease":    section{"duration": leaseDuration.String(), "renew": "1s", "margin": "500ms"},
 		"usage":    section{"window": "5s"},
@@ -324,7 +325,7 @@
 			p.kill()
 		}
 		if m.platformFace != nil {
-			m.platformFace.close()
+			m.platformFace.Close()
 		}
 		m.peerFace.close()
 	}
@@ -332,11 +333,11 @@
 	defer b.mu.Unlock()
 	for _, e := range b.engines {
 		e.proc.kill()
-		e.face.close()
+		e.face.Close()
 	}
 	for _, a := range b.apps {
 		a.proc.kill()
-		a.face.close()
+		a.face.Close()
 	}
 	if b.platform != nil {
 		b.platform.kill()
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/internal/relay"
 	"github.com/mimosakeel/mimosakeel/standin/engine"
 	"github.com/mimosakeel/mimosakeel/standin/fault"
 	fake "github.com/mimosakeel/mimosakeel/standin/platform"
@@ -40,15 +41,15 @@
 var faultKinds = []faultKind{
 	{name: "kill", hold: leaseHold, apply: (*bench).faultKill},
 	{name: "pause", unlisted: true, hold: leaseHold, apply: (*bench).faultPause},
-	{name: "cut_log", unlisted: true, hold: leaseHold, apply: func(b *bench, r *round) { r.victim.platformFace.set(relayCut) }},
+	{name: "cut_log", unlisted: true, hold: leaseHold, apply: func(b *bench, r *round) { r.victim.platformFace.Set(relay.Cut) }},
 	{name: "cut_peers", hold: shortHold, apply: (*bench).faultCutPeers},
 	{name: "cut_both", unlisted: true, hold: leaseHold, apply: func(b *bench, r *round) {
-		r.victim.platformFace.set(relayCut)
+		r.victim.platformFace.Set(relay.Cut)
 		b.faultCutPeers(r)
 	}},
-	{name: "mute_to_log", unlisted: true, hold: silenceHold, apply: func(b *bench, r *round) { r.victim.platformFace.set(relayMuteUp) }},
-	{name: "mute_from_log", unlisted: true, hold: leaseHold, apply: func(b *bench, r *round) { r.victim.platformFace.set(relayMuteDown) }},
-	{name: "freeze_log", unlisted: true, hold: silenceHold, apply: func(b *bench, r *round) { r.victim.platformFace.freeze() }},
+	{name: "mute_to_log", unlisted: true, hold: silenceHold, apply: func(b *bench, r *round) { r.victim.platformFace.Set(relay.MuteUp) }},
+	{name: "mute_from_log", unlisted: true, hold: leaseHold, apply: func(b *bench, r *round) { r.victim.platformFace.Set(relay.MuteDown) }},
+	{name: "freeze_log", unlisted: true, hold: silenceHold, apply: func(b *bench, r *round) { r.victim.platformFace.Freeze() }},
 	{name: "one_way_peers", hold: silenceHold, apply: (*bench).faultOneWayPeers},
 	{name: "outage", unlisted: true, hold: leaseHold, noLog: true, apply: (*bench).faultOutage},
 	{name: "lost_answers", hold: shortHold, apply: (*bench).faultLostAnswers},
@@ -154,12 +155,12 @@
 }
 
 func (b *bench) faultEngineFreeze(r *round) {
-	b.anyEngine(hosting.ClassOnDemand).face.freeze()
+	b.anyEngine(hosting.ClassOnDemand).face.Freeze()
 }
 
 func (b *bench) faultAppFreeze(r *round) {
 	a := b.apps[b.rng.IntN(len(b.apps))]
-	a.face.freeze()
+	a.face.Freeze()
 	b.inject(a.url, fault.Fault{Kind: "close_after", Count: 2})
 	b.inject(a.url, fault.Fault{Kind: "cut_answer", Count: 2})
 	b.inject(a.url, fault.Fault{Kind: "close_before", Count: 2})
@@ -224,7 +225,7 @@
 	b.links.heal()
 	b.inject(b.platformURL, fault.Fault{Kind: fault.KindClear})
 	for _, m := range b.daemons {
-		m.platformFace.heal()
+		m.platformFace.Heal()
 		switch p := m.process(); {
 		case !p.running():
 			b.startDaemon(m)
@@ -233,11 +234,11 @@
 		}
 	}
 	for _, a := range b.apps {
-		a.face.heal()
+		a.face.Heal()
 	}
 	b.mu.Lock()
 	for _, e := range b.engines {
-		e.face.heal()
+		e.face.Heal()
 	}
 	b.mu.Unlock()
 	for _, undo := range r.undo {
