platform: requests wait for the first configuration of a daemon that starts

Ruled out: opening the address for clients later. Their connections would be refused meanwhile, which they count as no answer.

--- a/edge/control.go
+++ b/edge/control.go
@@ -55,6 +55,8 @@
 	servers atomic.Pointer[serverView]
 	view    atomic.Pointer[view]
 	book    *memberBook
+	// loaded is closed once the configuration and the servers are known.
+	loaded chan struct{}
 	// serversCopy is the state of the copy of the servers.
 	serversCopy copyState
 
@@ -111,6 +113,7 @@
 		source:      source,
 		events:      events,
 		inbox:       make(chan any, inboxSize),
+		loaded:      make(chan struct{}),
 		book:        book,
 		registry:    registry.NewBook(source.DecodeServer),
 		members:     member.New(vm),
@@ -155,6 +158,7 @@
 			c.dirty = false
 			c.publish(time.Now())
 		}
+		c.noteLoaded()
 		if c.beatNow && time.Since(c.beaten) >= beatSpacing {
 			c.beat(member.SendHeartbeat{Peers: c.members.Peers()})
 		}
@@ -329,6 +333,19 @@
 	c.view.Store(next)
 }
 
+// noteLoaded lets requests pass that came before the first configuration and
+// list of servers.
+func (c *control) noteLoaded() {
+	if c.catalog.Load() == nil || c.feeds[feedServers].replica.End() == hosting.NoOffset {
+		return
+	}
+	select {
+	case <-c.loaded:
+	default:
+		close(c.loaded)
+	}
+}
+
 // strongShare is the part of the largest VM's processor time from which on a VM
 // works for others.
 const strongShare = 0.5
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -184,6 +184,28 @@
 func (s scheduler) Started(p *dispatch.Placement)                 { s.of(p).Started(p) }
 func (s scheduler) Done(p *dispatch.Placement, r dispatch.Result) { s.of(p).Done(p, r) }
 
+// startWait bounds the time for which a request waits for the first
+// configuration and list of servers. A daemon reads both within 0.1 s of its
+// start; clients that wait longer than a second mostly give up.
+const startWait = time.Second
+
+// AwaitLoaded waits until the first configuration and list of servers are known,
+// until the context ends, or for a second.
+func (d *Daemon) AwaitLoaded(ctx context.Context) {
+	select {
+	case <-d.control.loaded:
+		return
+	default:
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-d.control.loaded:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Catalog returns the configuration in force, nil before the first one.
 func (d *Daemon) Catalog() *catalog.Catalog { return d.control.catalog.Load() }
 
