--- a/internal/settingsdoc/settingsdoc.go
+++ b/internal/settingsdoc/settingsdoc.go
@@ -7,6 +7,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"os"
 	"reflect"
 	"strings"
 )
@@ -104,3 +105,50 @@
 	}
 	return b.String()
 }
+
+// CheckDefaults compares the documented defaults with those of a settings value
+// and returns what differs, and which settings lack a part of their
+// description.
+func CheckDefaults(all []Description, defaults any) (problems []string) {
+	values := map[string]string{}
+	collect(values, "", reflect.ValueOf(defaults))
+	for _, d := range all {
+		want := values[d.Name]
+		if want == "" {
+			want = "none"
+		}
+		if strings.TrimSuffix(d.Default, ", required") != want {
+			problems = append(problems, fmt.Sprintf("%s: documented %q, real %q", d.Name, d.Default, want))
+		}
+		if d.Text == "" || d.Unit == "" || d.Default == "" {
+			problems = append(problems, fmt.Sprintf("%s lacks a description, a unit or a default: %+v", d.Name, d))
+		}
+	}
+	return problems
+}
+
+func collect(values map[string]string, prefix string, v reflect.Value) {
+	for i := range v.NumField() {
+		name := prefix + v.Type().Field(i).Tag.Get("json")
+		if v.Field(i).Kind() == reflect.Struct {
+			collect(values, name+".", v.Field(i))
+			continue
+		}
+		values[name] = fmt.Sprint(v.Field(i).Interface())
+	}
+}
+
+// CheckPage compares a page with its text, or writes it first if update is set.
+func CheckPage(path, want string, update bool) error {
+	if update {
+		return os.WriteFile(path, []byte(want), 0o644)
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if string(got) != want {
+		return fmt.Errorf("%s is outdated: run its test with -update", path)
+	}
+	return nil
+}
