--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,7 +11,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/rs/zerolog"
 
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
@@ -38,6 +38,7 @@
 	taken    int
 	began    []string
 	answer   fakeAnswer
+	log      bytes.Buffer
 }
 
 type fakeAnswer struct {
@@ -146,7 +147,10 @@
 }
 
 func (f *fakes) serve(route catalog.Route) {
-	logger := zerolog.Nop()
+	logger, err := event.NewLogger(&f.log, "info")
+	if err != nil {
+		panic(err) // The level is a constant.
+	}
 	events := event.NewRecorder(hlc.New(time.Now), "test", nil, logger)
 	defer events.Close()
 	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Usage: f, Events: events}
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -167,3 +167,75 @@
 		}
 	})
 }
+
+// Guards against a log whose volume grows with the load, and against lines that
+// are left out without a word.
+func TestLogIsBoundedAndSaysWhatIsMissing(t *testing.T) {
+	var log bytes.Buffer
+	lines := NewLineBuffer(&log)
+	logger, err := NewLogger(lines, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewBufferedRecorder(fixedClock(), "p", lines, logger)
+	const sent = 3000
+	for range sent {
+		r.Record(KindRequest, "placed", "r")
+	}
+	r.Record(KindConfig, "in_force", "7")
+	r.Close()
+	written := strings.Count(log.String(), "what=placed")
+	if written < requestLines || written > 2*requestLines {
+		t.Errorf("%d of %d lines were written, %d a second are allowed", written, sent, requestLines)
+	}
+	if !strings.Contains(log.String(), "what=in_force") {
+		t.Error("lines about requests crowd out the others")
+	}
+	if !strings.Contains(log.String(), "what=events_dropped") || int(r.Dropped()) != sent-written {
+		t.Errorf("%d dropped of %d missing lines", r.Dropped(), sent-written)
+	}
+}
+
+// stuckWriter blocks until it is released.
+type stuckWriter chan struct{}
+
+func (w stuckWriter) Write(p []byte) (int, error) { <-w; return len(p), nil }
+
+// Guards against a terminal or pipe that nobody reads and that holds requests
+// up.
+func TestStuckOutputDoesNotBlockRecording(t *testing.T) {
+	stuck := make(stuckWriter)
+	lines := NewLineBuffer(stuck)
+	logger, err := NewLogger(lines, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewBufferedRecorder(fixedClock(), "p", lines, logger)
+	begin := time.Now()
+	for range 3 * queueLength {
+		r.Record(KindRequest, "placed", "r")
+	}
+	if took := time.Since(begin); took > time.Second {
+		t.Errorf("recording took %v", took)
+	}
+	if r.Dropped() == 0 {
+		t.Error("nothing was counted as dropped")
+	}
+	close(stuck)
+	r.Close()
+}
+
+// Guards against a client that fills the log with one request's id.
+func TestLongValuesAreCut(t *testing.T) {
+	var log bytes.Buffer
+	logger, err := NewLogger(&log, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewRecorder(fixedClock(), "p", nil, logger)
+	r.Record(KindRequest, "turned_away", strings.Repeat("x", 1<<20), F("path", strings.Repeat("y", 1<<20)))
+	r.Close()
+	if log.Len() > 4*maxValueBytes {
+		t.Errorf("the line has %d bytes", log.Len())
+	}
+}
--- a/event/explain.go
+++ b/event/explain.go
@@ -281,7 +281,7 @@
 		if e.Is("retried") {
 			out = append(out, e.Field("server")+" "+e.Field("reason"))
 		}
-		if cause := e.Field("cause"); cause != "" {
+		if cause := e.Field("cause"); cause != "" && cause != e.Field("reason") {
 			out = append(out, e.Field("server")+" "+cause)
 		}
 	}
