--- a/event/recorder.go
+++ b/event/recorder.go
@@ -18,9 +18,8 @@
 	// queueLength bounds the events that wait for a slow file or terminal. Beyond
 	// it events are dropped and counted, so that recording never delays a request.
 	queueLength = 4096
-	// requestLines is the number of log lines about requests per second. A daemon
-	// that serves 100 requests a second, twice what the busiest one of the users'
-	// sites gets, writes two lines for each.
+	// requestLines is the number of log lines about requests per second: two for
+	// each of 100 requests.
 	requestLines = 200
 	// otherLines is the number of all other log lines per second. The start of a
 	// daemon that learns 300 backend servers at once fits into one second.
--- a/pool/score_disturbance.go
+++ b/pool/score_disturbance.go
@@ -7,13 +7,12 @@
 type ScoreDisturbance struct{}
 
 const (
-	// startsMeanwhile is the number of answers that begin on a decode runner
-	// while it reads a prompt of the usual size, a quarter of a second, at the
-	// nine starts a second that the users' busiest days give each.
+	// startsMeanwhile is the number of answers that are expected to begin on a
+	// decode runner while it reads a prompt.
 	startsMeanwhile = 2
 	// disturbanceWeight is the number of times that an answer is delayed: prompts
 	// are read in chunks between the tokens, so that one prompt delays several
-	// tokens. Of 1, 4 and 20, 4 gave the fewest late answers on the users' days.
+	// tokens. docs/MEASUREMENTS.md compares weights.
 	disturbanceWeight = 4
 )
 
