edge: send each scheduler its own grant request and release unused grants

Cause: requestGrant sent one *GrantRequest to the remote scheduler and, after schedulerTimeout, to its own daemon, whose control goroutine sets Entry and Deadline while the outbox may still encode the message. Found as a data race in TestClusterServes. While reading it: a reply of the first scheduler that arrives after the timeout was taken for one of the second, so that its ticket was later released at the wrong daemon, and a grant left in the channel of a request that ended was never released; both held their place until they expired. Ruled out: Heartbeat and RolesChanging go to several peers, but nobody changes them; UsageCounts is a new message each, and Merge copies its maps; daemon builds a message per call. Change: schedule.NewGrantRequest builds each message (it replaces the copy in daemon), replies carry their sender, and leftover grants are released. Tests: TestEachSchedulerGetsItsOwnMessage and TestUnusedGrantsAreReleased fail with the old edge/grants.go and pass now (-race).

--- a/daemon/capacity_test.go
+++ b/daemon/capacity_test.go
@@ -71,7 +71,7 @@
 			for i := range blocks {
 				request.Blocks = append(request.Blocks, uint64(i)*0x9E3779B97F4A7C15)
 			}
-			measureMessage(b, newGrantRequest("pool/fd-a/model-12/0", request), &schedule.GrantRequest{})
+			measureMessage(b, schedule.NewGrantRequest("pool/fd-a/model-12/0", request), &schedule.GrantRequest{})
 		})
 	}
 }
--- a/daemon/grants.go
+++ b/daemon/grants.go
@@ -168,7 +168,7 @@
 func (g *grantClient) requestGrant(ctx context.Context, number uint64, route poolRoute, request pool.Request) (gateway.Grant, error) {
 	replies := g.awaitReply(request.ID)
 	defer g.stopAwaiting(request.ID)
-	g.send(route.scheduler, newGrantRequest(route.name, request))
+	g.send(route.scheduler, schedule.NewGrantRequest(route.name, request))
 	silence := time.NewTimer(schedulerTimeout)
 	defer silence.Stop()
 	for {
@@ -235,15 +235,6 @@
 	return g.register(number, open, time.Now().Add(g.cfg.GrantTTL))
 }
 
-func newGrantRequest(name string, request pool.Request) *schedule.GrantRequest {
-	m := &schedule.GrantRequest{Pool: name, Request: request}
-	if !request.Deadline.IsZero() {
-		m.Budget = max(time.Until(request.Deadline), 1)
-	}
-	m.Request.Deadline = time.Time{}
-	return m
-}
-
 // register stores an open grant. If the view no longer lists its runner, the
 // grant is released at once and the request refused.
 func (g *grantClient) register(number uint64, open *openGrant, expires time.Time) (gateway.Grant, error) {
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -59,7 +59,7 @@
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
-	waiting  map[string]chan *schedule.GrantReply
+	waiting  map[string]chan grantAnswer
 	// backoffUntil holds the time until which a scheduler that did not answer gets
 	// no requests, by VM.
 	backoffUntil map[string]time.Time
@@ -78,12 +78,18 @@
 	firstTokenAfter time.Duration
 }
 
+// grantAnswer is the reply of the scheduler on a VM.
+type grantAnswer struct {
+	from  string
+	reply *schedule.GrantReply
+}
+
 func newGrantClient(vm, domain string) *grantClient {
 	return &grantClient{
 		vm:            vm,
 		domain:        domain,
 		serversFields: func() []event.Field { return nil },
-		waiting:       map[string]chan *schedule.GrantReply{},
+		waiting:       map[string]chan grantAnswer{},
 		backoffUntil:  map[string]time.Time{},
 	}
 }
@@ -158,24 +164,26 @@
 	if scheduler != g.vm && g.isBackedOff(scheduler) {
 		scheduler = g.vm
 	}
-	replies := g.registerRequest(request.ID)
+	answers := g.registerRequest(request.ID)
 	defer g.unregisterRequest(request.ID)
-	message := &schedule.GrantRequest{Pool: route.name, Request: request, Budget: max(time.Until(request.Deadline), 1)}
-	message.Request.Deadline = time.Time{}
-	g.send(scheduler, message)
+	g.send(scheduler, schedule.NewGrantRequest(route.name, request))
 	timeout := time.NewTimer(schedulerTimeout)
 	defer timeout.Stop()
 	for {
 		select {
-		case reply := <-replies:
-			if reply.Kind == schedule.ReplyQueued {
+		case a := <-answers:
+			if a.from != scheduler {
+				g.releaseReply(a)
+				continue
+			}
+			if a.reply.Kind == schedule.ReplyQueued {
 				timeout.Stop()
 				continue
 			}
 			if scheduler == route.scheduler {
 				grantsByScheduler.Inc()
 			}
-			return scheduler, reply, nil
+			return scheduler, a.reply, nil
 		case <-timeout.C:
 			if scheduler == g.vm {
 				continue
@@ -186,7 +194,7 @@
 			g.send(scheduler, &schedule.GrantCancel{Pool: route.name, Request: request.ID})
 			scheduler = g.vm
 			grantsFallback.Inc()
-			g.send(scheduler, message)
+			g.send(scheduler, schedule.NewGrantRequest(route.name, request))
 		case <-ctx.Done():
 			g.send(scheduler, &schedule.GrantCancel{Pool: route.name, Request: request.ID})
 			return "", nil, ctx.Err()
@@ -258,35 +266,62 @@
 	g.send(t.scheduler, &schedule.Release{Pool: t.pool, Ticket: t.id, Down: down})
 }
 
-func (g *grantClient) registerRequest(request string) chan *schedule.GrantReply {
-	replies := make(chan *schedule.GrantReply, 2)
+func (g *grantClient) registerRequest(request string) chan grantAnswer {
+	// Each of two schedulers sends at most a ReplyQueued and another reply.
+	answers := make(chan grantAnswer, 4)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.waiting[request] = replies
-	return replies
+	g.waiting[request] = answers
+	return answers
 }
 
+// unregisterRequest ends the wait of a request and releases the grants that it
+// did not use.
 func (g *grantClient) unregisterRequest(request string) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	answers := g.waiting[request]
 	delete(g.waiting, request)
+	g.mu.Unlock()
+	for {
+		select {
+		case a := <-answers:
+			g.releaseReply(a)
+		default:
+			return
+		}
+	}
 }
 
 // deliver passes a reply of a scheduler to the waiting request. It releases a
 // grant for which no request waits.
 func (g *grantClient) deliver(from string, reply *schedule.GrantReply) {
+	a := grantAnswer{from: from, reply: reply}
+	if !g.passOn(a) {
+		g.releaseReply(a)
+	}
+}
+
+// passOn reports whether a request waits for the answer. It holds the lock while
+// it sends, so that no answer arrives after unregisterRequest.
+func (g *grantClient) passOn(a grantAnswer) bool {
 	g.mu.Lock()
-	replies, ok := g.waiting[reply.Request]
-	g.mu.Unlock()
-	if ok {
-		select {
-		case replies <- reply:
-			return
-		default:
-		}
+	defer g.mu.Unlock()
+	answers, ok := g.waiting[a.reply.Request]
+	if !ok {
+		return false
 	}
-	if reply.Kind == schedule.ReplyGranted {
-		g.send(from, &schedule.Release{Pool: reply.Pool, Ticket: reply.Granted.Ticket})
+	select {
+	case answers <- a:
+		return true
+	default:
+		return false
+	}
+}
+
+// releaseReply releases the ticket of an unused grant.
+func (g *grantClient) releaseReply(a grantAnswer) {
+	if a.reply.Kind == schedule.ReplyGranted {
+		g.send(a.from, &schedule.Release{Pool: a.reply.Pool, Ticket: a.reply.Granted.Ticket})
 	}
 }
 
--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -154,3 +154,53 @@
 	third := poolRequest("3", "self", "fd-a", request)
 	g.Expect(third.Blocks[1]).NotTo(Equal(first.Blocks[1]))
 }
+
+// Guards against a message that two goroutines use at the same time: the control
+// goroutine changes a request that it receives, while the outbox of the silent
+// scheduler still encodes it. The race detector reports it.
+func TestEachSchedulerGetsItsOwnMessage(t *testing.T) {
+	g := NewWithT(t)
+	f := newSchedulerFake(map[string]*registry.Server{"e": {ID: "e"}})
+	f.grant = func(vm string, _ *schedule.GrantRequest) (pool.Granted, bool) {
+		return pool.Granted{Ticket: 1, Runner: "e"}, vm == "self"
+	}
+	request := engineRequest()
+	place, err := f.grants.Place(context.Background(), request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(place.Server.ID).To(Equal("e"))
+	var sent []*schedule.GrantRequest
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.sent {
+		if m, ok := s.message.(*schedule.GrantRequest); ok {
+			sent = append(sent, m)
+		}
+	}
+	g.Expect(sent).To(HaveLen(2))
+	g.Expect(sent[0]).NotTo(BeIdenticalTo(sent[1]))
+	g.Expect(sent[1].Budget).To(BeNumerically("<=", sent[0].Budget-schedulerTimeout), "time left at the second scheduler")
+}
+
+// Guards against grants that hold their place until they expire: the grant of a
+// scheduler that answers after the request was placed elsewhere, and a grant that
+// arrives in the instant in which the request ends.
+func TestUnusedGrantsAreReleased(t *testing.T) {
+	g := NewWithT(t)
+	f := newSchedulerFake(map[string]*registry.Server{"e": {ID: "e"}})
+	f.grant = func(vm string, r *schedule.GrantRequest) (pool.Granted, bool) {
+		if vm == "self" {
+			f.grants.deliver("other", &schedule.GrantReply{Pool: "pool", Request: r.Request.ID, Kind: schedule.ReplyGranted, Granted: pool.Granted{Ticket: 7, Runner: "e"}})
+		}
+		return pool.Granted{Ticket: 1, Runner: "e"}, vm == "self"
+	}
+	place, err := f.grants.Place(context.Background(), engineRequest())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(place.Ticket.(*ticket).scheduler).To(Equal("self"))
+	g.Expect(place.Ticket.(*ticket).id).To(Equal(pool.Ticket(1)))
+	g.Expect(f.released()).To(Equal(map[string][]pool.Ticket{"other": {7}}))
+
+	f.grants.registerRequest("ends")
+	f.grants.deliver("other", &schedule.GrantReply{Pool: "pool", Request: "ends", Kind: schedule.ReplyGranted, Granted: pool.Granted{Ticket: 8}})
+	f.grants.unregisterRequest("ends")
+	g.Expect(f.released()).To(Equal(map[string][]pool.Ticket{"other": {7, 8}}))
+}
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -61,6 +61,18 @@
 	Budget time.Duration `cbor:"3,keyasint"`
 }
 
+// NewGrantRequest returns the message that asks the scheduler of a pool for a
+// grant. The receiver may be in this process and changes the message, so each
+// message is sent once.
+func NewGrantRequest(poolName string, request pool.Request) *GrantRequest {
+	m := &GrantRequest{Pool: poolName, Request: request}
+	if !request.Deadline.IsZero() {
+		m.Budget = max(time.Until(request.Deadline), 1)
+	}
+	m.Request.Deadline = time.Time{}
+	return m
+}
+
 // ReplyKind is the type of a GrantReply.
 type ReplyKind uint8
 
