edge: write the member entry again when another entry replaces it

The entry of a killed process of vm-0 took effect 0.5 s after that of its successor, so all others pinned the old certificate and rejected vm-0 until its next restart. vm-0 held the lease and reported usage windows from its own counts alone: 28 of 115, 42 of 122 and 11 of 45 requests. The log shows announce_failed of vm-0 at 9.9 s, the kill at 11.0 s, the new announcement at 11.4 s, and from 13.5 s on a vm-0 that sees no other daemon. Ruled out: the ledger (the counts never arrived), clocks, trimmed history (the followers recovered), the cloud link. Test: TestReplacedAnnouncementIsWrittenAgain (late, deleted, unreadable entry); with the comparison taken out it fails.

--- a/edge/control.go
+++ b/edge/control.go
@@ -58,6 +58,7 @@
 	servers     atomic.Pointer[serverView]
 	view        atomic.Pointer[view]
 	memberTable *memberTable
+	announcer   *announcer
 	// loaded is closed once the configuration and the list of servers are known.
 	loaded chan struct{}
 	// serversReplica is the state of the local replica of the list of servers.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -320,7 +320,8 @@
 		Certificate:   fingerprint.String(),
 		Cores:         d.Settings.Cores,
 	}
-	go announce(ctx, d.Topics, d.Source.MemberTopic, d.Settings.VM, entry, d.Events)
+	d.control.announcer = newAnnouncer(d.Topics, d.Source.MemberTopic, d.Settings.VM, entry, d.Events)
+	go d.control.announcer.run(ctx)
 	return nil
 }
 
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -152,6 +152,9 @@
 		}
 		c.dirty = true
 	case feedMembers:
+		for _, r := range records {
+			c.announcer.observe(r)
+		}
 		for _, vm := range c.memberTable.apply(records, c.events) {
 			c.disconnect(vm)
 		}
--- a/edge/members.go
+++ b/edge/members.go
@@ -108,24 +108,82 @@
 	return out
 }
 
-// announce writes this daemon's member entry and retries until the store has
-// acknowledged it.
-func announce(ctx context.Context, topics hosting.Topics, topic hosting.Topic, vm string, e memberEntry, events *event.Recorder) {
-	value, err := json.Marshal(e)
-	if err != nil {
-		panic(err) // Plain strings and numbers always have an encoding.
+// announcer keeps this daemon's member entry in the store. It writes the entry
+// again if another one replaces it: the write of an ended process of the same VM
+// may take effect after the first write of its successor. The other daemons would
+// then reject the certificate of this one.
+type announcer struct {
+	topics hosting.Topics
+	topic  hosting.Topic
+	vm     string
+	entry  memberEntry
+	events *event.Recorder
+
+	// foreign is the highest offset of a record of this VM that is not from this
+	// process.
+	foreign atomic.Int64
+	wake    chan struct{}
+}
+
+func newAnnouncer(topics hosting.Topics, topic hosting.Topic, vm string, entry memberEntry, events *event.Recorder) *announcer {
+	a := &announcer{topics: topics, topic: topic, vm: vm, entry: entry, events: events, wake: make(chan struct{}, 1)}
+	a.foreign.Store(hosting.NoOffset)
+	return a
+}
+
+// observe checks a record of the member topic. Only the control goroutine calls it.
+func (a *announcer) observe(r hosting.KeyedRecord) {
+	if r.Key != a.vm || r.Offset <= a.foreign.Load() {
+		return
+	}
+	if e, err := decodeMember(r.Value); err == nil && e.Incarnation == a.entry.Incarnation {
+		return
 	}
-	for ctx.Err() == nil {
-		_, outcome, err := topics.Put(ctx, topic, hosting.NoOffset, hosting.KeyedRecord{Key: vm, Value: value})
-		if outcome == hosting.OutcomeDone {
-			events.Record(event.KindConfig, "announced", vm, event.F("incarnation", e.Incarnation))
+	a.foreign.Store(r.Offset)
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run writes the entry, and again whenever a newer record replaces it, until the
+// context ends.
+func (a *announcer) run(ctx context.Context) {
+	for {
+		offset, ok := a.write(ctx)
+		for ok && a.foreign.Load() < offset {
+			select {
+			case <-a.wake:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if ctx.Err() != nil {
 			return
 		}
-		events.Record(event.KindFault, "announce_failed", vm, event.F("error", errorText(err)))
+		if ok {
+			a.events.Record(event.KindFault, "announcement_replaced", a.vm, event.F("offset", formatInt(a.foreign.Load())))
+		}
 		sleep(ctx, announceRetry/2+rand.N(announceRetry))
 	}
 }
 
+// write writes the entry once and returns its offset if the store has
+// acknowledged it.
+func (a *announcer) write(ctx context.Context) (offset int64, ok bool) {
+	value, err := json.Marshal(a.entry)
+	if err != nil {
+		panic(err) // Plain strings and numbers always have an encoding.
+	}
+	offset, outcome, err := a.topics.Put(ctx, a.topic, hosting.NoOffset, hosting.KeyedRecord{Key: a.vm, Value: value})
+	if outcome != hosting.OutcomeDone {
+		a.events.Record(event.KindFault, "announce_failed", a.vm, event.F("error", errorText(err)))
+		return 0, false
+	}
+	a.events.Record(event.KindConfig, "announced", a.vm, event.F("incarnation", a.entry.Incarnation))
+	return offset, true
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- /dev/null
+++ b/edge/members_test.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/hlc"
+	"github.com/mimosakeel/mimosakeel/hosting"
+)
+
+func testMember(incarnation string) memberEntry {
+	return memberEntry{Incarnation: incarnation, Addr: "127.0.0.1:1", Certificate: strings.Repeat("ab", 32)}
+}
+
+func memberRecord(t *testing.T, vm, incarnation string) hosting.KeyedRecord {
+	t.Helper()
+	value, err := json.Marshal(testMember(incarnation))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return hosting.KeyedRecord{Key: vm, Value: value}
+}
+
+// Guards against a daemon that is cut off from all others until it restarts,
+// because an entry of its VM's previous process replaced its own: the store carried
+// out a write of that process late, or deleted the entry.
+func TestReplacedAnnouncementIsWrittenAgain(t *testing.T) {
+	for name, late := range map[string]hosting.KeyedRecord{
+		"late write of the previous process": memberRecord(t, "vm", "old"),
+		"deleted entry":                      {Key: "vm"},
+		"unreadable entry":                   {Key: "vm", Value: []byte("{")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				topics := newMemoryTopics()
+				put := func(r hosting.KeyedRecord) {
+					_, _, err := topics.Put(ctx, hosting.Topic{}, hosting.NoOffset, r)
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				newest := func() (incarnation string, records int) {
+					topics.mu.Lock()
+					defer topics.mu.Unlock()
+					e, err := decodeMember(topics.records[len(topics.records)-1].Value)
+					g.Expect(err).NotTo(HaveOccurred())
+					return e.Incarnation, len(topics.records)
+				}
+				put(memberRecord(t, "vm", "old"))
+				events := event.NewRecorder(hlc.New(time.Now), "vm", nil, zerolog.Nop())
+				a := newAnnouncer(topics, hosting.Topic{}, "vm", testMember("new"), events)
+				reader := newFollower(topics, hosting.Topic{}, events, func(page hosting.KeyedPage, _ bool) {
+					for _, r := range page.Records {
+						a.observe(r)
+					}
+				})
+				reader.setEnabled(true)
+				done := make(chan struct{}, 2)
+				go func() { a.run(ctx); done <- struct{}{} }()
+				go func() { reader.run(ctx); done <- struct{}{} }()
+				time.Sleep(3 * time.Second)
+				_, written := newest()
+				g.Expect(written).To(Equal(2), "an older entry needs no second write")
+				put(late)
+				time.Sleep(2 * announceRetry)
+				incarnation, written := newest()
+				g.Expect(incarnation).To(Equal("new"))
+				put(memberRecord(t, "other", "x"))
+				time.Sleep(3 * time.Second)
+				_, after := newest()
+				g.Expect(after).To(Equal(written+1), "entries of other VMs need no write")
+				cancel()
+				<-done
+				<-done
+				events.Close()
+			})
+		})
+	}
+}
