gateway: set connection deadlines through a controller that is never replaced

Cause: startRecording replaces q.w, while abort, called by the goroutine that withdraws a key, reads it. Also, respond counted every answer of a plain service and every replayed outcome as 200 in mimosakeel_answers_total, and the doc of Pick promised an excluded server that the daemon's directory refuses (it is right: the attempt on that server has failed). Change: request.control is made from the original writer; sentStatus keeps the status that was sent. Tests: TestAbortWhileRecordingStarts (-race) and TestAnswersAreCountedByStatus fail with the old lines put back.

--- a/gateway/assemble.go
+++ b/gateway/assemble.go
@@ -157,7 +157,7 @@
 	if _, err := q.w.Write(body); err != nil {
 		return err
 	}
-	return http.NewResponseController(q.w).Flush()
+	return q.control.Flush()
 }
 
 func decodeObject(raw json.RawMessage) map[string]any {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -24,7 +24,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
 	if err == nil {
-		_ = http.NewResponseController(q.w).SetReadDeadline(time.Time{})
+		_ = q.control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	var tooLarge *http.MaxBytesError
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -91,7 +91,7 @@
 		h.Set(name, value)
 	}
 	q.extendWriteDeadline()
-	q.headerSent = true
+	q.headerSent, q.sentStatus = true, o.Status
 	q.w.WriteHeader(o.Status)
 	_, _ = q.w.Write(o.Body)
 	return nil
--- a/gateway/interfaces.go
+++ b/gateway/interfaces.go
@@ -146,8 +146,8 @@
 
 // ServiceBackends chooses backend servers for plain services.
 type ServiceBackends interface {
-	// Pick returns a server, or a *Refusal. It returns a server listed in
-	// exclude only if there is no other.
+	// Pick returns a server that is not listed in exclude, or a *Refusal if there
+	// is none.
 	Pick(service string, exclude []string) (ServiceBackend, error)
 	// Release ends the use of a picked server; failed reports whether the call
 	// failed.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -35,6 +36,9 @@
 	r      *http.Request
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// control sets the deadlines of the client's connection. Unlike w, it is never
+	// replaced, so abort may use it.
+	control *http.ResponseController
 
 	id      string
 	started time.Time
@@ -55,8 +59,10 @@
 	// mayHaveRun is set when a backend may have run the request. No error after
 	// that reports RunNever.
 	mayHaveRun bool
-	// headerSent is set when the response's status line has been written.
+	// headerSent is set when the response's status line has been written, and
+	// sentStatus is its status if it isn't 200.
 	headerSent    bool
+	sentStatus    int
 	exclude       []string
 	usage         UsageEntry
 	writeDeadline time.Time
@@ -103,7 +109,10 @@
 
 func (g *Gateway) run(w http.ResponseWriter, r *http.Request, filters []filter) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
-	q := &request{g: g, w: w, r: r, ctx: ctx, cancel: cancel, id: newRequestID(), started: g.Clock.Now()}
+	q := &request{
+		g: g, w: w, r: r, ctx: ctx, cancel: cancel, control: http.NewResponseController(w),
+		id: newRequestID(), started: g.Clock.Now(),
+	}
 	q.stopClientWatch = context.AfterFunc(r.Context(), func() { cancel(errClientLeft) })
 	defer cancel(nil)
 	defer q.cleanUp()
@@ -147,7 +156,7 @@
 func (q *request) respond(err *Error) {
 	if err == nil {
 		q.recordEvent(EventFinished, "", "")
-		q.g.metrics.countResponse(http.StatusOK)
+		q.g.metrics.countResponse(cmp.Or(q.sentStatus, http.StatusOK))
 		return
 	}
 	kind := EventFailed
@@ -257,7 +266,7 @@
 		return
 	}
 	q.writeDeadline = now.Add(q.g.config.ClientWriteTimeout)
-	_ = http.NewResponseController(q.w).SetWriteDeadline(q.writeDeadline)
+	_ = q.control.SetWriteDeadline(q.writeDeadline)
 }
 
 // setBodyDeadline limits the time in which the body must arrive. This also
@@ -265,7 +274,7 @@
 // reads the rest of the body.
 func (q *request) setBodyDeadline() {
 	if q.r.Body != nil && q.r.Body != http.NoBody {
-		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(q.g.config.BodyTimeout))
+		_ = q.control.SetReadDeadline(time.Now().Add(q.g.config.BodyTimeout))
 	}
 }
 
@@ -274,7 +283,7 @@
 // can't delay the end.
 func (q *request) abort(cause error) {
 	q.cancel(cause)
-	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(abortWriteTimeout))
+	_ = q.control.SetWriteDeadline(time.Now().Add(abortWriteTimeout))
 }
 
 // abortWriteTimeout is the time in which the client must take the error after
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -66,8 +66,8 @@
 		h[name] = values
 	}
 	h.Set(HeaderRun, string(RunDone))
-	q.headerSent = true
-	q.w.WriteHeader(q.service.response.Status)
+	q.headerSent, q.sentStatus = true, q.service.response.Status
+	q.w.WriteHeader(q.sentStatus)
 }
 
 // streamServiceResponse forwards a large or streamed response as its data
@@ -75,7 +75,6 @@
 // withdrawn.
 func (q *request) streamServiceResponse() error {
 	buffer := make([]byte, relayBufferBytes)
-	control := http.NewResponseController(q.w)
 	for {
 		n, err := q.service.response.Body.Read(buffer)
 		if n > 0 {
@@ -84,7 +83,7 @@
 				q.cancel(errClientLeft)
 				return writeErr
 			}
-			if flushErr := control.Flush(); flushErr != nil {
+			if flushErr := q.control.Flush(); flushErr != nil {
 				q.cancel(errClientLeft)
 				return flushErr
 			}
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -165,3 +166,33 @@
 		g.Expect([]string{code, run}).To(Equal([]string{"answer_not_kept", "done"}))
 	}, large)
 }
+
+// Guards against a race between a withdrawn key, which ends the request from another
+// goroutine, and the claim step, which replaces the request's writer.
+func TestAbortWhileRecordingStarts(t *testing.T) {
+	w := httptest.NewRecorder()
+	q := &request{
+		w: w, control: http.NewResponseController(w), cancel: func(error) {},
+		stopClientWatch: func() bool { return true },
+	}
+	done := make(chan struct{})
+	go func() { q.abort(errWithdrawn); close(done) }()
+	q.startRecording("token")
+	<-done
+}
+
+// Guards against a metric that counts the failures of a plain service as successes,
+// and a replayed outcome by another status than the one it was sent with.
+func TestAnswersAreCountedByStatus(t *testing.T) {
+	service := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	runWithGateway(t, Config{}, func(e *testEnv) {
+		g := NewWithT(e.t)
+		e.gateway.Claims = &fakeClaims{outcomes: map[string]claim.Outcome{}}
+		for range 2 {
+			g.Expect(e.send("POST", "/services/stamps/s", "x", HeaderIdempotencyKey+": k").status).To(Equal(http.StatusNotFound))
+		}
+		synctest.Wait()
+		g.Expect(e.gateway.metrics.responses[4].Get()).To(BeEquivalentTo(2))
+		g.Expect(e.gateway.metrics.responses[2].Get()).To(BeZero())
+	}, service)
+}
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -58,7 +58,7 @@
 	if _, err := q.w.Write(data); err != nil {
 		return err
 	}
-	return http.NewResponseController(q.w).Flush()
+	return q.control.Flush()
 }
 
 // writeStreamError ends a started stream with an error event and no end marker.
@@ -67,7 +67,7 @@
 	_, _ = q.w.Write([]byte("data: "))
 	_, _ = q.w.Write(e.body())
 	_, _ = q.w.Write([]byte("\n\n"))
-	_ = http.NewResponseController(q.w).Flush()
+	_ = q.control.Flush()
 }
 
 // streamSink writes each frame as a server-sent event.
