limit: count a waiting request once, and renew slices by tokens too

Cause: Take counted the demand of a request again when its home had answered, so the next slice was up to twice the demand; renewEarly looked at requests only, so that a customer limited by tokens waited for its home each time they ran out. Tests: TestWaitingRequestIsCountedOnce, TestSliceIsRenewedBeforeItsTokensRunOut fail with each line put back. TestBoundsUnderPartitions passes as before.

--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -92,8 +92,8 @@
 // decide decides from the slice, waits briefly for the home if the slice does
 // not cover the request, and otherwise uses the share of this daemon.
 func (l *limiter) decide(customer string, limits limit.Limits, tokens int) limit.Decision {
-	for range maxHomeAnswers {
-		decision, answered := l.takeFromSlice(customer, limits, tokens)
+	for i := range maxHomeAnswers {
+		decision, answered := l.takeFromSlice(customer, limits, tokens, i > 0)
 		if decision.Ask != nil {
 			l.requestSlice(decision.Ask)
 		}
@@ -112,10 +112,10 @@
 
 // takeFromSlice decides from the slice. If the decision has to wait for the
 // home, it also returns a channel that is closed when the home answers.
-func (l *limiter) takeFromSlice(customer string, limits limit.Limits, tokens int) (limit.Decision, chan struct{}) {
+func (l *limiter) takeFromSlice(customer string, limits limit.Limits, tokens int, again bool) (limit.Decision, chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	decision := l.borrower.Take(time.Now(), customer, limits, tokens)
+	decision := l.borrower.Take(time.Now(), customer, limits, tokens, again)
 	if decision.Verdict != limit.Pending {
 		return decision, nil
 	}
--- a/limit/borrower.go
+++ b/limit/borrower.go
@@ -109,16 +109,20 @@
 	return a
 }
 
-// Take decides about a request with the given estimate of tokens.
-func (b *Borrower) Take(now time.Time, customer string, limits Limits, tokens int) Decision {
+// Take decides about a request with the given estimate of tokens. again is set if
+// an earlier call for the same request returned Pending; its demand is counted
+// already.
+func (b *Borrower) Take(now time.Time, customer string, limits Limits, tokens int, again bool) Decision {
 	a := b.ensureAllowance(now, customer)
 	if limits.unlimited() {
 		a.running++
 		return Decision{Verdict: Admitted}
 	}
 	need := float64(max(tokens, 0))
-	a.triedRequests++
-	a.triedTokens += need
+	if !again {
+		a.triedRequests++
+		a.triedTokens += need
+	}
 	if a.covers(now, limits, need) {
 		a.spend(now, need)
 		a.running++
@@ -150,11 +154,12 @@
 	return limits.Concurrency <= 0 || a.running < a.concurrency
 }
 
-// renewEarly returns a request for a new slice if few requests remain, so that
-// the next client request need not wait for the home.
+// renewEarly returns a request for a new slice if few requests or tokens remain,
+// so that the next client request need not wait for the home.
 func (a *allowance) renewEarly(now time.Time, limits Limits) *SliceRequest {
-	requests, _ := a.remaining(now)
-	low := limits.RequestsPerSecond > 0 && requests < a.triedRequests/4
+	requests, tokens := a.remaining(now)
+	low := limits.RequestsPerSecond > 0 && requests < a.triedRequests/4 ||
+		limits.TokensPerMinute > 0 && tokens-max(a.debt, 0) < a.triedTokens/4
 	if !low || a.awaitingReply || now.Before(a.retryAt) || now.Sub(a.askedAt) < askInterval {
 		return nil
 	}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -47,12 +47,12 @@
 
 // request sends one client request to daemon i and returns the final decision.
 func (c *cluster) request(i, tokens int) Decision {
-	d := c.daemons[i].Take(c.now, "c", c.limits, tokens)
+	d := c.daemons[i].Take(c.now, "c", c.limits, tokens, false)
 	if d.Ask != nil {
 		c.send(i, *d.Ask)
 	}
 	if d.Verdict == Pending {
-		if d = c.daemons[i].Take(c.now, "c", c.limits, tokens); d.Verdict == Pending {
+		if d = c.daemons[i].Take(c.now, "c", c.limits, tokens, true); d.Verdict == Pending {
 			d = c.daemons[i].TakeShare(c.now, "c", c.limits, tokens, i, len(c.daemons))
 		}
 	}
@@ -188,3 +188,39 @@
 	g.Expect(used).To(BeNumerically("<=", 6000*5+1000+6*500))
 	g.Expect(used).To(BeNumerically(">=", 6000*4))
 }
+
+// Guards against a slice that is twice as large as the demand, because a request
+// that waited for the home is counted again.
+func TestWaitingRequestIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	limits := Limits{RequestsPerSecond: 100, Burst: 100, TokensPerMinute: 6000}
+	b := NewBorrower()
+	first := b.Take(start, "c", limits, 10, false)
+	g.Expect(first.Ask.Requests).To(Equal(1.0))
+	b.Receive(start, Slice{Customer: "c", Seq: first.Ask.Seq, Requests: 1, Tokens: 10})
+	g.Expect(b.Take(start, "c", limits, 10, true).Verdict).To(Equal(Admitted))
+	later := start.Add(SliceTTL)
+	second := b.Take(later, "c", limits, 10, false)
+	g.Expect(second.Ask.Requests).To(Equal(1.0))
+	g.Expect(second.Ask.Tokens).To(Equal(10.0))
+}
+
+// Guards against a request that waits for the home although its daemon could have
+// asked for more tokens while earlier requests used them up.
+func TestSliceIsRenewedBeforeItsTokensRunOut(t *testing.T) {
+	g := NewWithT(t)
+	limits := Limits{TokensPerMinute: 60_000}
+	b := NewBorrower()
+	first := b.Take(start, "c", limits, 10, false)
+	b.Receive(start, Slice{Customer: "c", Seq: first.Ask.Seq, Tokens: 100})
+	now := start.Add(askInterval)
+	var early *SliceRequest
+	for range 10 {
+		d := b.Take(now, "c", limits, 10, false)
+		g.Expect(d.Verdict).To(Equal(Admitted))
+		if early == nil {
+			early = d.Ask
+		}
+	}
+	g.Expect(early).NotTo(BeNil())
+}
