authority: name the term that ended in Lost

Cause: a conflict ends the term before reportTransitions builds Lost, so the log said that term -1 was lost. Test: TestLostNamesTheTermThatEnded fails with m.term.

--- a/authority/machine.go
+++ b/authority/machine.go
@@ -34,9 +34,10 @@
 	// term is the term that this daemon holds until expiry, or hosting.NoOffset.
 	term   int64
 	expiry time.Time
-	// acting is set between Gained and Lost. A regained authority isn't used before
-	// cooldownUntil.
+	// acting is set between Gained and Lost, and actingTerm is the term of that
+	// Gained. A regained authority isn't used before cooldownUntil.
 	acting        bool
+	actingTerm    int64
 	cooldownUntil time.Time
 	// renewedAt is the time at which the last accepted record was sent.
 	renewedAt time.Time
@@ -135,13 +136,13 @@
 	if m.acting && !holds {
 		m.acting = false
 		m.cooldownUntil = now.Add(m.cfg.Cooldown)
-		actions = append(actions, Lost{Term: m.term})
+		actions = append(actions, Lost{Term: m.actingTerm})
 	}
 	if m.term != hosting.NoOffset && !holds {
 		m.endTerm()
 	}
 	if holds && !m.acting && !now.Before(m.cooldownUntil) && !m.stopping {
-		m.acting = true
+		m.acting, m.actingTerm = true, m.term
 		actions = append(actions, Gained{Term: m.term})
 	}
 	return actions
--- a/authority/machine_test.go
+++ b/authority/machine_test.go
@@ -333,3 +333,22 @@
 		t.Fatalf("daemon 0 did not regain the authority")
 	}
 }
+
+// Guards against log lines about a lost lease that don't name its term: the term
+// has ended already when a conflict shows that another daemon has it.
+func TestLostNamesTheTermThatEnded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := NewMachine(DefaultConfig(testDuration), "vm", "p", 0)
+	m.Step(now, Rank{})
+	claim := m.Step(now, Read{End: 7})[0].(Append)
+	actions := m.Step(now, Appended{Nonce: claim.Nonce, Offset: 7, Outcome: hosting.OutcomeDone})
+	if len(actions) != 1 || actions[0] != (Gained{Term: 7}) {
+		t.Fatalf("actions %v, want Gained", actions)
+	}
+	now = now.Add(testDuration / 2)
+	renewal := m.Step(now, Tick{})[0].(Append)
+	actions = m.Step(now, Appended{Nonce: renewal.Nonce, Outcome: hosting.OutcomeRefused, Conflict: true})
+	if !slices.Contains(actions, Action(Lost{Term: 7})) {
+		t.Fatalf("actions %v, want Lost of term 7", actions)
+	}
+}
