edge: ignore the answer to a role order whose pool is not planned

Cause: the answer to a role order may arrive in a later term, in which the plan of the service exists but not yet that of the pool; OrderFailed was called on nil and ended the process. Test: TestRoleOrderOfEarlierTermIsIgnored panics without the check.

--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -14,6 +14,7 @@
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/metering"
+	"github.com/mimosakeel/mimosakeel/provision"
 )
 
 // usageFake accepts and stores all usage reports.
@@ -162,3 +163,12 @@
 	h.deliverCounts(time.Now().Add(time.Second))
 	g.Expect(sent["vm-2"]).NotTo(HaveKey("vm-3.gone"), "collected counts are sent once to each new collector")
 }
+
+// Guards against a daemon that ends because the answer to a role order arrives in a
+// later term that has not planned the engine's pool.
+func TestRoleOrderOfEarlierTermIsIgnored(t *testing.T) {
+	events := event.NewRecorder(hlc.New(time.Now), "vm", nil, zerolog.Nop())
+	defer events.Close()
+	f := &fleetControl{events: events, services: map[string]*serviceFleet{"llm": {roles: map[string]*provision.Roles{}}}}
+	f.handle(time.Now(), roleOrdered{service: "llm", pool: "pool//llm/1", outcome: hosting.OutcomeRefused})
+}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -300,7 +300,8 @@
 	case roleOrdered:
 		f.events.Record(event.KindOrder, "role_ordered", ev.order.ID, event.F("role", string(ev.order.Role)),
 			event.F("outcome", ev.outcome.String()), event.F("error", errorText(ev.err)))
-		if plan := f.services[ev.service]; plan != nil && ev.outcome == hosting.OutcomeRefused {
+		// A later term may not have planned the pool yet.
+		if plan := f.services[ev.service]; plan != nil && plan.roles[ev.pool] != nil && ev.outcome == hosting.OutcomeRefused {
 			plan.roles[ev.pool].OrderFailed(ev.order)
 		}
 	case countOrdered:
