claim: forget abandoned claims after a minute

Cause: each lost append of a request that had ended left its id in Machine.abandoned for ever. A claim that is read back later than a minute gets the outcome 'unknown', which no request runs on.

--- a/claim/batch_test.go
+++ b/claim/batch_test.go
@@ -38,3 +38,32 @@
 		t.Errorf("%d claims and %d outcomes in one record", len(body.Claims), len(body.Outcomes))
 	}
 }
+
+// Guards against memory that grows with each lost append: a claim that never
+// reaches the log must not be remembered for ever after its request has ended.
+func TestAbandonedClaimsAreForgotten(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	m := NewMachine(Config{}, "vm-1.a", 0, 0)
+	m.Step(now, LogState{Up: true})
+	for ticket := range uint64(50) {
+		request := Request{Key: Key{Customer: "acme", Hash: [32]byte{byte(ticket)}}}
+		actions := m.Step(now, Asked{Ticket: ticket, Request: request, Deadline: now.Add(time.Second)})
+		for _, a := range actions {
+			if sent, ok := a.(Append); ok {
+				m.Step(now, AppendEnded{ID: sent.ID, Result: AppendUnknown})
+			}
+		}
+		now = now.Add(2 * time.Second)
+		m.Step(now, Tick{})
+	}
+	if len(m.abandoned) == 0 {
+		t.Fatal("no claim was abandoned")
+	}
+	for range 3 {
+		now = now.Add(abandonedTTL)
+		m.Step(now, Tick{})
+	}
+	if len(m.abandoned) > 0 {
+		t.Fatalf("%d abandoned claims are remembered", len(m.abandoned))
+	}
+}
--- a/claim/decide.go
+++ b/claim/decide.go
@@ -98,7 +98,7 @@
 		return
 	}
 	if w.sent {
-		m.abandoned[w.claim] = struct{}{}
+		m.abandoned[w.claim] = time.Time{}
 	}
 }
 
@@ -263,10 +263,23 @@
 	return Decide{w.ticket, refusal(holder)}
 }
 
-// handleTick refuses the requests whose deadline has passed, and queues claims
-// again that were not read back in time.
+// abandonedTTL is the time for which the machine remembers a claim whose request
+// has ended. The outcome of a claim that is read back later is unknown, like that
+// of a claim of another process.
+const abandonedTTL = time.Minute
+
+// handleTick refuses the requests whose deadline has passed, queues claims again
+// that were not read back in time, and forgets old abandoned claims.
 func (m *Machine) handleTick(now time.Time) []Action {
 	var actions []Action
+	for id, since := range m.abandoned {
+		switch {
+		case since.IsZero():
+			m.abandoned[id] = now
+		case now.Sub(since) >= abandonedTTL:
+			delete(m.abandoned, id)
+		}
+	}
 	for _, w := range m.sortedWaiters() {
 		switch {
 		case !now.Before(w.deadline):
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -94,8 +94,8 @@
 	running    map[string]claimBody
 	goneOwners map[string]struct{}
 	// abandoned holds the sent claims whose requests were decided or cancelled
-	// before the claim was read back.
-	abandoned map[string]struct{}
+	// before the claim was read back, and the time of the first Tick after that.
+	abandoned map[string]time.Time
 	// queuedClaims wait for the next append.
 	queuedClaims []claimBody
 	outcomes     map[string]*pendingOutcome
@@ -132,7 +132,7 @@
 		goneOwners: map[string]struct{}{},
 		outcomes:   map[string]*pendingOutcome{},
 
-		abandoned: map[string]struct{}{},
+		abandoned: map[string]time.Time{},
 	}
 }
 
