daemon: keep messages that are sent once, bound relayed reads, record lost streams

Causes: a full inbox dropped UsageCopy and Heartbeat.Stopped, which are sent only once; a read through two silent peers took 2.5 s against the withdrawal bound of 2 s, and the second attempt could choose the first peer again; logUnreachable had no handler, so failed reads of the log were neither counted nor logged. Change: isSoftState names what may be lost; relayTimeout is 0.7 s and peers are drawn without repetition; the tailer records stream_lost and stream_regained and counts mimosakeel_log_reads_failed_total.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -98,8 +98,7 @@
 // drops events that carry soft state and blocks for all others, for example log
 // pages, because a fold must not miss a page.
 func (c *controlLoop) emit(ev any) {
-	switch ev.(type) {
-	case logPage, query, orderAppended, orderAnswered, stopLeases, usageAppended, usageReported:
+	if !isSoftState(ev) {
 		c.inbox <- ev
 		return
 	}
@@ -110,6 +109,23 @@
 	}
 }
 
+// isSoftState reports whether an event may be lost. Copies of usage deltas and the
+// announcement that a process ends are sent only once.
+func isSoftState(ev any) bool {
+	switch ev := ev.(type) {
+	case logPage, query, orderAppended, orderAnswered, stopLeases, usageAppended, usageReported:
+		return false
+	case peerMessage:
+		switch m := ev.message.(type) {
+		case *UsageCopy:
+			return false
+		case *Heartbeat:
+			return !m.Stopped
+		}
+	}
+	return true
+}
+
 // ask runs a function on the control goroutine and returns its result. The
 // function may still run after the context has ended, so it must not write to
 // variables of the caller.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -178,7 +178,7 @@
 func (d *Daemon) streams() []string { return []string{configStream, controlStream, usageStream} }
 
 func (d *Daemon) tail(stream string, log hosting.Log, wait time.Duration) {
-	t := &tailer{log: log, stream: stream, wait: wait, emit: d.control.emit}
+	t := &tailer{log: log, stream: stream, wait: wait, emit: d.control.emit, events: d.events}
 	go t.run(d.ctx)
 }
 
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -42,6 +42,16 @@
 	r.out.Record(event.KindFault, what, "", event.F("error", errorText(err)))
 }
 
+// stream records that reads of a stream of the log fail, or that they succeed
+// again if err is nil.
+func (r *Recorder) stream(name string, err error) {
+	if err == nil {
+		r.out.Record(event.KindConfig, "stream_regained", name)
+		return
+	}
+	r.out.Record(event.KindFault, "stream_lost", name, event.F("error", errorText(err)))
+}
+
 // config records that a table version came into force, and the number of
 // running requests that were ended because their key was withdrawn.
 func (r *Recorder) config(version int64, author string, ended int) {
--- a/daemon/logio.go
+++ b/daemon/logio.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/mimosakeel/mimosakeel/hosting"
 )
 
@@ -39,31 +41,46 @@
 	page      hosting.Page
 }
 
-// logUnreachable is a failed read of a stream.
-type logUnreachable struct {
-	stream string
-	err    error
-}
+var readsFailed = metrics.NewCounter("mimosakeel_log_reads_failed_total")
 
 // tailer reads one stream from its start and passes every page to emit.
 type tailer struct {
-	log     hosting.Log
-	stream  string
-	wait    time.Duration
-	emit    func(any)
+	log    hosting.Log
+	stream string
+	wait   time.Duration
+	emit   func(any)
+	// events receives an event when reads start to fail and when they succeed again.
+	events  *Recorder
 	next    int64
 	started bool
+	failing bool
 }
 
 func (t *tailer) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := t.readOnce(ctx); err != nil {
-			t.emit(logUnreachable{stream: t.stream, err: err})
+		err := t.readOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		t.recordTransition(err)
+		if err != nil {
 			sleep(ctx, readRetryDelay)
 		}
 	}
 }
 
+// recordTransition counts failed reads, and records only the first of consecutive
+// ones and the first that succeeds again.
+func (t *tailer) recordTransition(err error) {
+	if err != nil {
+		readsFailed.Inc()
+	}
+	if failing := err != nil; failing != t.failing {
+		t.failing = failing
+		t.events.stream(t.stream, err)
+	}
+}
+
 // readOnce reads one page. A trimmed position is not an error: the next read
 // starts at the first remaining offset.
 func (t *tailer) readOnce(ctx context.Context) error {
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -13,13 +13,12 @@
 )
 
 const (
-	// directTimeout is the time beyond its wait that a direct read may take. A read
-	// that does not wait and succeeds at the first peer takes at most 1.5 s, which
-	// is below the default withdrawal bound of 2 s. If the first peer times out as
-	// well, the read can take 2.5 s and exceed the bound.
+	// directTimeout is the time beyond its wait that a direct read may take. With it
+	// and relayTimeout, a read that succeeds at its last peer stays below the default
+	// withdrawal bound of 2 s.
 	directTimeout = 500 * time.Millisecond
 	// relayTimeout limits a read through a peer.
-	relayTimeout = time.Second
+	relayTimeout = 700 * time.Millisecond
 	// relayAttempts is the maximum number of peers that one read tries.
 	relayAttempts = 2
 )
@@ -64,10 +63,9 @@
 func (l *relayedLog) readThroughPeer(ctx context.Context, request ReadRequest) (hosting.Page, error) {
 	peers := l.view().peerAddrs
 	err := errNoPeer
-	for i := range min(relayAttempts, len(peers)) {
-		addr := peers[(rand.IntN(len(peers))+i)%len(peers)]
+	for _, at := range rand.Perm(len(peers))[:min(relayAttempts, len(peers))] {
 		var page hosting.Page
-		page, err = l.readFrom(ctx, addr, request)
+		page, err = l.readFrom(ctx, peers[at], request)
 		var trimmed *hosting.TrimmedError
 		if err == nil || eris.As(err, &trimmed) {
 			return page, err
