record, event: tests that can fail

TestReadersAgree compares readers with each other, so that listState ignoring unchained records stayed green: TestUnchainedRecordsAreAppliedOnce checks the state itself (fails without the call in chain.go). FuzzDecodeLog now cuts each line that it accepts: no part without the end marker may decode.

--- a/event/explain_test.go
+++ b/event/explain_test.go
@@ -175,8 +175,17 @@
 	f.Add([]byte(`level=warn at=x process="vm`))
 	f.Fuzz(func(t *testing.T, line []byte) {
 		e, err := DecodeLog(line)
-		if err == nil && (e.Process == "" || e.What == "" || e.Kind == "") {
+		if err != nil {
+			return
+		}
+		if e.Process == "" || e.What == "" || e.Kind == "" {
 			t.Fatalf("%q was decoded as an event without process, name or kind", line)
 		}
+		// A killed process leaves a line without its end.
+		for end := range len(bytes.TrimRight(line, "\r\n\t \"")) - len("00:00Z") {
+			if _, err := DecodeLog(line[:end]); err == nil && !bytes.Contains(line[:end], []byte(logEnd)) {
+				t.Fatalf("the first %d bytes of %q were decoded as a whole line", end, line)
+			}
+		}
 	})
 }
--- a/record/stream_test.go
+++ b/record/stream_test.go
@@ -41,3 +41,21 @@
 		}
 	}
 }
+
+// Guards against unchained records that do not reach the state of their subject, or
+// that reach it more than once.
+func TestUnchainedRecordsAreAppliedOnce(t *testing.T) {
+	state := &listState{}
+	stream := NewStream(0, func(string) State { return state })
+	note := Envelope{Format: Format, ID: "a/1", Kind: "note", Subject: "s", Prev: NoOffset, Seen: NoOffset, Author: "a"}
+	first := Envelope{Format: Format, ID: "a/2", Kind: "k", Subject: "s", Prev: NoOffset, Seen: NoOffset, Author: "a"}
+	page := hosting.Page{Next: 3, Records: []hosting.Record{
+		{Offset: 0, Data: Encode(note)}, {Offset: 1, Data: Encode(first)}, {Offset: 2, Data: Encode(note)},
+	}}
+	if _, err := stream.Apply(page); err != nil {
+		t.Fatal(err)
+	}
+	if len(state.Noted) != 1 || state.Noted["a/1"] != 0 || len(state.Accepted) != 1 {
+		t.Errorf("state %+v, want one note at offset 0 and one accepted record", state)
+	}
+}
