edge: publish what changed instead of building all views anew

Ruled out: ticks (7 us) and heartbeats that say nothing new (5 us each). Change: the server list reports changed servers only (an entry that differs in its sequence number only is no change); serverView shares what stays; poolTable keeps the ranks of engines and tells the host which pools are unchanged; member.Set is sorted, and the graph is built when the list of VMs changes. pool.listRunners drops before it adds: a replaced runner of a full pool was left out until the next list, which is no longer soon.

--- a/edge/control.go
+++ b/edge/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -71,11 +70,15 @@
 	duties           *duties
 	fleet            *fleetControl
 	clock            *metering.Clock
+	// pools holds the pools of the services in force.
+	pools *poolTable
 	// roleChanges holds the engines that change their role, by server ID.
 	roleChanges map[string]roleChange
-	live        *member.Set
-	routable    *member.Set
-	host        *schedule.Host
+	// rolesChanged is set if roleChanges has changed since the last publish.
+	rolesChanged bool
+	live         *member.Set
+	routable     *member.Set
+	host         *schedule.Host
 	// highCapacity is the set of routable daemons on the larger VMs. They schedule
 	// pools, read the topics for the other daemons, and rank first as challengers
 	// for the lease.
@@ -98,22 +101,6 @@
 	pools map[string][]poolRoute
 }
 
-// serverView is an immutable snapshot of the backend servers for the goroutines
-// that serve requests.
-type serverView struct {
-	byID      map[string]*registry.Server
-	byService map[string][]*registry.Server
-}
-
-func newServerView(servers []*registry.Server) *serverView {
-	v := &serverView{byID: map[string]*registry.Server{}, byService: map[string][]*registry.Server{}}
-	for _, s := range servers {
-		v.byID[s.ID] = s
-		v.byService[s.Service] = append(v.byService[s.Service], s)
-	}
-	return v
-}
-
 func newControl(vm, incarnation string, source Source, events *event.Recorder, table *memberTable) *control {
 	c := &control{
 		vm:          vm,
@@ -125,13 +112,14 @@
 		memberTable: table,
 		registry:    registry.NewServerList(source.DecodeServer),
 		members:     member.New(vm),
+		pools:       newPoolTable(),
 		roleChanges: map[string]roleChange{},
 		leaving:     map[string]string{},
 	}
 	c.serversReplica.end.Store(hosting.NoOffset)
 	empty := member.NewSet(nil)
 	c.live, c.routable, c.highCapacity = empty, empty, empty
-	c.servers.Store(newServerView(nil))
+	c.servers.Store(&serverView{})
 	c.view.Store(&view{routable: empty, live: empty})
 	return c
 }
@@ -179,9 +167,10 @@
 	c.tickFeeds(now)
 	c.host.Tick(now)
 	c.duties.tick(now)
-	if c.registry.HasDelayedRemovals(now) || c.dropFinishedRoleChanges(now) {
-		c.dirty = true
+	if c.dropFinishedRoleChanges(now) {
+		c.rolesChanged = true
 	}
+	c.dirty = c.dirty || c.rolesChanged || c.registry.Changed(now)
 }
 
 func (c *control) handle(now time.Time, ev any) {
@@ -328,13 +317,16 @@
 // publish updates the scheduler and stores new snapshots of the servers, members
 // and pools.
 func (c *control) publish(now time.Time) {
-	servers := c.registry.Servers(now)
-	c.logServerChanges(servers)
-	c.servers.Store(newServerView(servers))
-	specs := c.pools(servers)
-	c.host.Update(now, specs, func(pool.Key) bool { return true })
+	if changes := c.registry.TakeChanges(now); len(changes) > 0 {
+		c.logServerChanges(changes)
+		c.servers.Store(c.servers.Load().with(changes))
+	}
+	if c.pools.update(c.catalog.Load(), c.servers.Load(), c.rolesChanged, c.isChangingRole) {
+		c.host.Update(now, c.pools.specs, func(pool.Key) bool { return true })
+	}
+	c.rolesChanged = false
 	next := &view{routable: c.routable, live: c.live, pools: map[string][]poolRoute{}}
-	for _, spec := range specs {
+	for _, spec := range c.pools.specs {
 		name := spec.Key.String()
 		next.pools[spec.Key.Model] = append(next.pools[spec.Key.Model], poolRoute{
 			name:      name,
@@ -397,19 +389,16 @@
 }
 
 // logServerChanges records which servers joined, left or changed their state.
-func (c *control) logServerChanges(servers []*registry.Server) {
-	old := c.servers.Load().byID
-	for _, s := range servers {
-		was := old[s.ID]
-		if was != nil && was.StartedMs == s.StartedMs && was.Draining == s.Draining && was.Role == s.Role && was.Addr == s.Addr {
-			continue
-		}
-		c.events.Record(event.KindConfig, "server", s.ID, event.F("service", s.Service), event.F("role", string(s.Role)),
-			event.F("leaving", formatBool(s.Draining)), event.F("cheap", formatBool(s.Cheap)), event.F("domain", s.FailureDomain))
-	}
-	for id := range old {
-		if !slices.ContainsFunc(servers, func(s *registry.Server) bool { return s.ID == id }) {
-			c.events.Record(event.KindConfig, "server_gone", id)
+func (c *control) logServerChanges(changes []registry.Change) {
+	for _, change := range changes {
+		s, was := change.Server, change.Old
+		switch {
+		case s == nil:
+			c.events.Record(event.KindConfig, "server_gone", change.ID)
+		case was != nil && was.StartedMs == s.StartedMs && was.Draining == s.Draining && was.Role == s.Role && was.Addr == s.Addr:
+		default:
+			c.events.Record(event.KindConfig, "server", s.ID, event.F("service", s.Service), event.F("role", string(s.Role)),
+				event.F("leaving", formatBool(s.Draining)), event.F("cheap", formatBool(s.Cheap)), event.F("domain", s.FailureDomain))
 		}
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,7 +96,7 @@
 	d.control.clock = d.clock
 	d.control.duties = d.newDuties(incarnation)
 	d.plain = newPlainScheduler(s.FailureDomain)
-	d.plain.servers = func(service string) []*registry.Server { return d.control.servers.Load().byService[service] }
+	d.plain.servers = func(service string) []*registry.Server { return d.control.servers.Load().ofService(service) }
 	d.plain.serversFields = d.control.serversReplica.fields
 	d.budget = newRetryBudget(s.Retry, d.retryShares)
 	d.dispatcher = &dispatch.Dispatcher{
@@ -216,7 +216,7 @@
 // Stopping reports whether a planned stop has begun.
 func (d *Daemon) Stopping() bool { return d.stopping.Load() }
 
-func (d *Daemon) server(id string) *registry.Server { return d.control.servers.Load().byID[id] }
+func (d *Daemon) server(id string) *registry.Server { return d.control.servers.Load().server(id) }
 
 // Serve executes a request and writes its answer. It returns when the request
 // has ended.
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -150,7 +150,7 @@
 		} else {
 			c.reportUndecodable(c.registry.FromPeer(now, records))
 		}
-		c.dirty = true
+		c.dirty = c.dirty || c.registry.Changed(now)
 	case feedMembers:
 		for _, r := range records {
 			c.announcer.observe(r)
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -110,8 +110,9 @@
 // serviceFleet holds the planners of one service during a term. roles holds one
 // planner per pool.
 type serviceFleet struct {
-	servers *provision.Servers
-	roles   map[string]*provision.Roles
+	servers  *provision.Servers
+	roles    map[string]*provision.Roles
+	assigner pool.Assigner
 }
 
 func (f *fleetControl) gained(_ time.Time, _ int64, records []hosting.KeyedRecord) {
@@ -151,7 +152,7 @@
 		plan = &serviceFleet{roles: map[string]*provision.Roles{}}
 		f.services[s.Name] = plan
 	}
-	listed := f.control.servers.Load().byService[s.Name]
+	listed := f.control.servers.Load().ofService(s.Name)
 	engines := provisionEngines(listed)
 	base, known := f.baseCount(now, s.Name, len(engines))
 	if known && plan.servers == nil && s.Scaling != nil && f.settings.OnDemand+f.settings.Cheap > 0 {
@@ -171,7 +172,7 @@
 		ids = append(ids, e.ID)
 	}
 	var changing []ChangingEngine
-	for i, shard := range pool.AssignEven(ids, shardCount(s)) {
+	for i, shard := range plan.assigner.AssignEven(ids, shardCount(s)) {
 		name := pool.Key{Model: s.Name, Shard: i}.String()
 		roles := plan.roles[name]
 		if roles == nil {
@@ -261,7 +262,7 @@
 }
 
 func (f *fleetControl) orderRole(term int64, service, poolName string, o provision.RoleOrder) {
-	server := f.control.servers.Load().byID[o.ID]
+	server := f.control.servers.Load().server(o.ID)
 	if server == nil {
 		return
 	}
@@ -334,7 +335,7 @@
 func (c *control) addRoleChanges(now time.Time, m *RolesChanging) {
 	for _, e := range m.Engines {
 		if old, ok := c.roleChanges[e.ID]; !ok || old.born != e.Born || old.role != e.Role {
-			c.dirty = true
+			c.rolesChanged, c.dirty = true, true
 		}
 		c.roleChanges[e.ID] = roleChange{born: e.Born, role: e.Role, until: now.Add(fleetInterval + roleChangeNotice + roleChangeLag)}
 	}
@@ -345,7 +346,7 @@
 func (c *control) dropFinishedRoleChanges(now time.Time) bool {
 	dropped := false
 	for id, e := range c.roleChanges {
-		server := c.servers.Load().byID[id]
+		server := c.servers.Load().server(id)
 		if now.After(e.until) || server == nil || server.StartedMs != e.born || server.Role == e.role {
 			delete(c.roleChanges, id)
 			dropped = true
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -148,8 +148,15 @@
 // same pool.
 func (g *grantClient) route(service string, request *pool.Request) (poolRoute, bool) {
 	routes := g.view().pools[service]
+	if len(routes) == 0 {
+		return poolRoute{}, false
+	}
+	shard := 0
+	if shards := routes[0].shards; shards > 1 {
+		shard = pool.ShardFor(request, shards)
+	}
 	for _, r := range routes {
-		if r.shards <= 1 || r.shard == pool.ShardFor(request, r.shards) {
+		if r.shard == shard {
 			return r, true
 		}
 	}
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -45,7 +45,7 @@
 	set := metrics.NewSet()
 	set.NewGauge("mimosakeel_edge_requests_open", func() float64 { return float64(d.active.Load()) })
 	set.NewGauge("mimosakeel_edge_members_live", func() float64 { return float64(d.control.view.Load().live.Len()) })
-	set.NewGauge("mimosakeel_edge_servers", func() float64 { return float64(len(d.control.servers.Load().byID)) })
+	set.NewGauge("mimosakeel_edge_servers", func() float64 { return float64(d.control.servers.Load().len()) })
 	set.NewGauge("mimosakeel_edge_servers_age_seconds", func() float64 {
 		return time.Since(time.Unix(0, d.control.serversReplica.fresh.Load())).Seconds()
 	})
--- a/edge/pools.go
+++ b/edge/pools.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,42 +76,110 @@
 	return pool.Shards(s.Scaling.Max * len(s.Scaling.DomainPrices))
 }
 
-// pools groups the engines into the pools of their services. A service has
-// several pools if its engines don't fit into one.
-func (c *control) pools(servers []*registry.Server) []schedule.PoolSpec {
-	cat := c.catalog.Load()
-	if cat == nil {
-		return nil
-	}
-	engines := map[string]map[string]*registry.Server{}
-	ids := map[string][]string{}
-	for _, s := range servers {
-		service := cat.Service(s.Service)
+// poolTable groups the engines into the pools of their services. A service has
+// several pools if its engines don't fit into one. It keeps the pools, so that an
+// update costs what has changed.
+type poolTable struct {
+	catalog  *catalog.Catalog
+	view     *serverView
+	services map[string]*servicePools
+	// specs are the pools of all services that have engines.
+	specs []schedule.PoolSpec
+}
+
+// servicePools are the pools of one service.
+type servicePools struct {
+	config   pool.Config
+	memory   int
+	assigner pool.Assigner
+	pools    []engines
+}
+
+// engines are the engines of one pool. changing tells which of them change their
+// role.
+type engines struct {
+	spec     schedule.PoolSpec
+	servers  []*registry.Server
+	changing []bool
+}
+
+func newPoolTable() *poolTable { return &poolTable{services: map[string]*servicePools{}} }
+
+// update brings the pools up to date and reports whether any may have changed.
+// rolesChanged is set if the results of isChanging may have changed.
+func (t *poolTable) update(cat *catalog.Catalog, view *serverView, rolesChanged bool, isChanging func(*registry.Server) bool) bool {
+	if cat == nil || cat == t.catalog && view == t.view && !rolesChanged {
+		return false
+	}
+	if cat != t.catalog {
+		clear(t.services)
+	}
+	t.catalog, t.view, t.specs = cat, view, nil
+	for _, name := range slices.Sorted(maps.Keys(view.services)) {
+		service := cat.Service(name)
 		if service == nil || service.Engine == nil {
 			continue
 		}
-		if engines[s.Service] == nil {
-			engines[s.Service] = map[string]*registry.Server{}
+		p := t.services[name]
+		if p == nil {
+			p = &servicePools{config: poolConfig(service.Engine), memory: service.Engine.KVTokens}
+			t.services[name] = p
 		}
-		engines[s.Service][s.ID] = s
-		ids[s.Service] = append(ids[s.Service], s.ID)
-	}
-	var specs []schedule.PoolSpec
-	for service, list := range ids {
-		shards := pool.AssignEven(list, shardCount(cat.Service(service)))
-		memory := cat.Service(service).Engine.KVTokens
-		for i, shard := range shards {
-			cfg := poolConfig(cat.Service(service).Engine)
-			spec := schedule.PoolSpec{Key: pool.Key{Model: service, Shard: i}, Shards: len(shards), Config: &cfg}
-			for _, id := range shard {
-				info := runnerInfo(engines[service][id], memory)
-				info.Changing = c.isChangingRole(engines[service][id])
-				spec.Runners = append(spec.Runners, info)
-			}
-			specs = append(specs, spec)
+		p.update(service, view.ofService(name), isChanging)
+		for i := range p.pools {
+			t.specs = append(t.specs, p.pools[i].spec)
+		}
+	}
+	return true
+}
+
+func (p *servicePools) update(service *catalog.Service, listed []*registry.Server, isChanging func(*registry.Server) bool) {
+	byID := make(map[string]*registry.Server, len(listed))
+	ids := make([]string, len(listed))
+	for i, s := range listed {
+		ids[i], byID[s.ID] = s.ID, s
+	}
+	shards := p.assigner.AssignEven(ids, shardCount(service))
+	for len(p.pools) < len(shards) {
+		p.pools = append(p.pools, engines{spec: schedule.PoolSpec{
+			Key: pool.Key{Model: service.Name, Shard: len(p.pools)}, Config: &p.config,
+		}})
+	}
+	p.pools = p.pools[:len(shards)]
+	for i, shard := range shards {
+		e := &p.pools[i]
+		e.spec.Shards = len(shards)
+		// A new pool has no runner list yet.
+		e.spec.Unchanged = e.set(shard, byID, isChanging) && e.spec.Runners != nil
+		if !e.spec.Unchanged {
+			e.spec.Runners = e.runners(p.memory)
 		}
 	}
-	return specs
+}
+
+// set replaces the engines of the pool. It reports whether they are the same as
+// before.
+func (e *engines) set(ids []string, byID map[string]*registry.Server, isChanging func(*registry.Server) bool) bool {
+	same := len(ids) == len(e.servers)
+	servers, changing := make([]*registry.Server, len(ids)), make([]bool, len(ids))
+	for i, id := range ids {
+		servers[i] = byID[id]
+		changing[i] = isChanging(servers[i])
+		same = same && servers[i] == e.servers[i] && changing[i] == e.changing[i]
+	}
+	if !same {
+		e.servers, e.changing = servers, changing
+	}
+	return same
+}
+
+func (e *engines) runners(memory int) []pool.RunnerInfo {
+	out := make([]pool.RunnerInfo, len(e.servers))
+	for i, s := range e.servers {
+		out[i] = runnerInfo(s, memory)
+		out[i].Changing = e.changing[i]
+	}
+	return out
 }
 
 func runnerInfo(s *registry.Server, memory int) pool.RunnerInfo {
--- a/member/member.go
+++ b/member/member.go
@@ -112,10 +112,12 @@
 // Members is the membership state machine of one daemon. It is not safe for
 // concurrent use.
 type Members struct {
-	self          string
-	vms           map[string]*vm
-	byKey         map[uint32]*vm
-	listed        []*vm
+	self   string
+	vms    map[string]*vm
+	byKey  map[uint32]*vm
+	listed []*vm
+	// ids holds the IDs of listed, from which graph is built.
+	ids           []string
 	graph         graph
 	peers         []string
 	routable      []string
@@ -177,7 +179,10 @@
 	}
 	m.vms = kept
 	m.liveMayChange = true
-	m.graph = newGraph(ids)
+	if slices.Equal(ids, m.ids) {
+		return actions
+	}
+	m.ids, m.graph = ids, newGraph(ids)
 	peers := slices.Clone(m.graph[m.self])
 	slices.Sort(peers)
 	if slices.Equal(peers, m.peers) {
--- a/member/rendezvous.go
+++ b/member/rendezvous.go
@@ -1,11 +1,16 @@
 package member
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 )
 
 // Set is an immutable set of VMs to which names are assigned by rendezvous
 // hashing.
+//
+// Invariant: ids is sorted.
 type Set struct {
 	ids     []string
 	domains []string
@@ -20,6 +25,10 @@
 
 // NewSet returns a set of the given VMs. Their order doesn't matter.
 func NewSet(candidates []Candidate) *Set {
+	byID := func(a, b Candidate) int { return strings.Compare(a.ID, b.ID) }
+	if !slices.IsSortedFunc(candidates, byID) {
+		candidates = slices.SortedFunc(slices.Values(candidates), byID)
+	}
 	s := &Set{
 		ids:     make([]string, len(candidates)),
 		domains: make([]string, len(candidates)),
@@ -41,12 +50,8 @@
 
 // Contains reports whether the VM is in the set.
 func (s *Set) Contains(id string) bool {
-	for _, have := range s.ids {
-		if have == id {
-			return true
-		}
-	}
-	return false
+	_, found := slices.BinarySearch(s.ids, id)
+	return found
 }
 
 // Owner returns the VM with the highest score for name, or "" if the set is
--- a/pool/collect.go
+++ b/pool/collect.go
@@ -111,21 +111,25 @@
 func (p *Pool) listRunners(now time.Time, list []RunnerInfo) {
 	seen := [MaxRunners]bool{}
 	for i := range list {
-		r := p.runnerByID(list[i].ID)
-		if r == nil {
-			r = p.addRunner(now, list[i].ID)
+		if r := p.runnerByID(list[i].ID); r != nil {
+			seen[r.slot] = true
 		}
-		if r == nil {
-			continue
-		}
-		seen[r.slot] = true
-		p.updateRunner(now, r, &list[i])
 	}
+	// Runners that have left make room for new ones.
 	for _, r := range p.runners {
 		if r != nil && !seen[r.slot] {
 			p.dropRunner(r)
 		}
 	}
+	for i := range list {
+		r := p.runnerByID(list[i].ID)
+		if r == nil {
+			r = p.addRunner(now, list[i].ID)
+		}
+		if r != nil {
+			p.updateRunner(now, r, &list[i])
+		}
+	}
 }
 
 // addRunner assigns a free slot to a new runner. It returns nil if there is none.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -328,3 +329,20 @@
 	g.Expect(p.Step(granted.Expires.Add(4*time.Second), Tick{})).To(ContainElement(BeAssignableToTypeOf(Expired{})))
 	g.Expect(p.Open()).To(BeZero())
 }
+
+// Guards against a new runner that is left out of a full pool because the runner
+// that it replaces still has its place.
+func TestReplacedRunnerOfFullPoolIsListed(t *testing.T) {
+	p := New(DefaultConfig(), 0)
+	now := time.Unix(1_700_000_000, 0)
+	list := make([]RunnerInfo, MaxRunners)
+	for i := range list {
+		list[i] = RunnerInfo{ID: fmt.Sprint("r", i), Role: backend.RoleMixed}
+	}
+	p.Step(now, RunnersListed{Runners: slices.Clone(list)})
+	list[0].ID = "new"
+	p.Step(now, RunnersListed{Runners: list})
+	if p.runnerByID("new") == nil || p.runnerByID("r0") != nil {
+		t.Error("the pool does not hold the runners of the last list")
+	}
+}
--- a/pool/shard.go
+++ b/pool/shard.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -28,32 +29,57 @@
 	return max((runners+MaxRunners-1)/MaxRunners, 1)
 }
 
-// Assign distributes runners over as few shards as possible; see AssignTo.
-func Assign(ids []string) [][]string { return AssignTo(ids, Shards(len(ids)), MaxRunners) }
+// Assign distributes runners over as few shards as possible; see Assigner.
+func Assign(ids []string) [][]string {
+	var a Assigner
+	return a.assign(ids, Shards(len(ids)), MaxRunners)
+}
 
 // shardSlack is the maximum size of a shard relative to the mean. It is close
 // to 1 because requests are distributed evenly over the shards.
 const shardSlack = 1.1
 
+// Assigner distributes runners over shards by rendezvous hashing. The result
+// depends on the set of runners only, and few others move when one joins or
+// leaves. An Assigner keeps the ranks of its runners, so that a repeated
+// assignment hashes new runners only. Its zero value is ready to use.
+type Assigner struct {
+	count int
+	ranks map[string][]uint16
+}
+
 // AssignEven distributes runners over count shards of nearly equal size, or over
 // more shards if they don't fit.
-func AssignEven(ids []string, count int) [][]string {
+func (a *Assigner) AssignEven(ids []string, count int) [][]string {
 	count = max(count, Shards(len(ids)))
 	room := int(math.Ceil(shardSlack * float64(len(ids)) / float64(count)))
-	return AssignTo(ids, count, min(room, MaxRunners))
+	return a.assign(ids, count, min(room, MaxRunners))
 }
 
-// AssignTo distributes runners over count shards of at most room runners each by
-// rendezvous hashing. The result depends on the set of runners only, and few
-// others move when one joins or leaves.
-func AssignTo(ids []string, count, room int) [][]string {
+// assign distributes runners over count shards of at most room runners each.
+func (a *Assigner) assign(ids []string, count, room int) [][]string {
+	if !slices.IsSorted(ids) {
+		ids = slices.Sorted(slices.Values(ids))
+	}
 	shards := make([][]string, count)
-	if len(shards) == 1 {
-		shards[0] = slices.Sorted(slices.Values(ids))
+	if count == 1 {
+		shards[0] = slices.Clone(ids)
 		return shards
 	}
-	for _, id := range slices.Sorted(slices.Values(ids)) {
-		for _, shard := range shardOrder(id, len(shards)) {
+	if a.count != count || len(a.ranks) > 2*len(ids) {
+		// Runners that have left are forgotten here.
+		a.count, a.ranks = count, make(map[string][]uint16, len(ids))
+	}
+	for i := range shards {
+		shards[i] = make([]string, 0, room)
+	}
+	for _, id := range ids {
+		ranks, ok := a.ranks[id]
+		if !ok {
+			ranks = rankShards(id, count)
+			a.ranks[id] = ranks
+		}
+		for _, shard := range ranks {
 			if len(shards[shard]) < room {
 				shards[shard] = append(shards[shard], id)
 				break
@@ -70,21 +96,35 @@
 	name := req.ID
 	switch {
 	case req.Affinity != 0:
-		name = fmt.Sprint(req.Affinity)
+		name = strconv.FormatUint(req.Affinity, 10)
 	case len(req.Blocks) > 0:
-		name = fmt.Sprint(req.Blocks[0])
+		name = strconv.FormatUint(req.Blocks[0], 10)
 	}
-	return shardOrder(name, count)[0]
+	best, bestScore := 0, uint64(0)
+	shardScores(name, count, func(shard int, score uint64) {
+		if shard == 0 || score > bestScore {
+			best, bestScore = shard, score
+		}
+	})
+	return best
 }
 
-// shardOrder ranks the shards for a name by rendezvous hashing.
-func shardOrder(name string, count int) []int {
-	order := make([]int, count)
+// rankShards ranks the shards for a name by rendezvous hashing.
+func rankShards(name string, count int) []uint16 {
+	ranks := make([]uint16, count)
 	scores := make([]uint64, count)
-	for i := range order {
-		order[i] = i
-		scores[i] = xxhash.Sum64String(fmt.Sprintf("%s/%d", name, i))
+	shardScores(name, count, func(shard int, score uint64) {
+		ranks[shard], scores[shard] = uint16(shard), score
+	})
+	slices.SortFunc(ranks, func(a, b uint16) int { return cmp.Compare(scores[b], scores[a]) })
+	return ranks
+}
+
+// shardScores calls visit with the score of each shard for a name.
+func shardScores(name string, count int, visit func(shard int, score uint64)) {
+	var buffer [64]byte
+	prefix := append(append(buffer[:0], name...), '/')
+	for i := range count {
+		visit(i, xxhash.Sum64(strconv.AppendInt(prefix, int64(i), 10)))
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
-	return order
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -3,6 +3,7 @@
 package registry
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/mimosakeel/mimosakeel/backend"
@@ -37,6 +38,13 @@
 	Sequence int64
 }
 
+// sameAs reports whether two entries differ in nothing but their sequence number.
+func (s *Server) sameAs(other *Server) bool {
+	a, b := *s, *other
+	a.Sequence, b.Sequence = 0, 0
+	return reflect.DeepEqual(a, b)
+}
+
 // Model is a model that an engine has loaded.
 type Model struct {
 	Name string
--- a/registry/server_list.go
+++ b/registry/server_list.go
@@ -28,6 +28,10 @@
 type ServerList struct {
 	decode  Decode
 	entries map[string]*entry
+	// touched holds the IDs whose server in use may differ from what TakeChanges
+	// returned last, and held those of delayed removals.
+	touched map[string]struct{}
+	held    map[string]struct{}
 	// storeLost is set while the store can't be read; regainedAt is the time when
 	// it could be read again after the last outage.
 	storeLost  bool
@@ -40,11 +44,21 @@
 	// held is the server of the removed entry, which stays in use until heldUntil.
 	held      *Server
 	heldUntil time.Time
+	// reported is the server in use that TakeChanges returned last.
+	reported *Server
+}
+
+// Change is a server whose entry was added, replaced or removed.
+type Change struct {
+	ID string
+	// Server is the server in use, or nil if there is none. Old is the one before
+	// the change, or nil if there was none.
+	Server, Old *Server
 }
 
 // NewServerList returns an empty server list.
 func NewServerList(decode Decode) *ServerList {
-	return &ServerList{decode: decode, entries: map[string]*entry{}}
+	return &ServerList{decode: decode, entries: map[string]*entry{}, touched: map[string]struct{}{}, held: map[string]struct{}{}}
 }
 
 // StoreLost reports that the store can't be read.
@@ -89,11 +103,17 @@
 // for RemovalDelay.
 func (l *ServerList) put(now time.Time, r hosting.KeyedRecord, hold bool) error {
 	old := l.entries[r.Key]
-	next := &entry{}
+	if old == nil {
+		old = &entry{}
+	}
+	next := &entry{reported: old.reported}
 	l.entries[r.Key] = next
+	delete(l.held, r.Key)
+	defer l.touch(now, r.Key)
 	if r.Value == nil {
-		if hold && old != nil {
-			next.held, next.heldUntil = old.current(now), now.Add(RemovalDelay)
+		if s := old.current(now); hold && s != nil {
+			next.held, next.heldUntil = s, now.Add(RemovalDelay)
+			l.held[r.Key] = struct{}{}
 		}
 		return nil
 	}
@@ -102,9 +122,61 @@
 		return err
 	}
 	next.server = &server
+	if old.server != nil && old.server.sameAs(&server) {
+		next.server = old.server
+	}
 	return nil
 }
 
+// touch notes whether the server in use for a key differs from the reported one. It
+// drops an entry without either.
+func (l *ServerList) touch(now time.Time, id string) {
+	e := l.entries[id]
+	s := e.current(now)
+	if s != e.reported {
+		l.touched[id] = struct{}{}
+		return
+	}
+	delete(l.touched, id)
+	if s == nil {
+		delete(l.entries, id)
+	}
+}
+
+// Changed reports whether TakeChanges returns anything now.
+func (l *ServerList) Changed(now time.Time) bool {
+	l.endRemovalDelays(now)
+	return len(l.touched) > 0
+}
+
+// endRemovalDelays ends the use of removed servers whose delay has passed.
+func (l *ServerList) endRemovalDelays(now time.Time) {
+	for id := range l.held {
+		if !now.Before(l.entries[id].heldUntil) {
+			delete(l.held, id)
+			l.touch(now, id)
+		}
+	}
+}
+
+// TakeChanges returns the servers in use that have changed since the last call, in
+// the order of their IDs.
+func (l *ServerList) TakeChanges(now time.Time) []Change {
+	l.endRemovalDelays(now)
+	if len(l.touched) == 0 {
+		return nil
+	}
+	out := make([]Change, 0, len(l.touched))
+	for _, id := range slices.Sorted(maps.Keys(l.touched)) {
+		e := l.entries[id]
+		s := e.current(now)
+		out = append(out, Change{ID: id, Server: s, Old: e.reported})
+		e.reported = s
+		l.touch(now, id)
+	}
+	return out
+}
+
 // current returns the server in use for the entry, or nil.
 func (e *entry) current(now time.Time) *Server {
 	if e.server == nil && now.Before(e.heldUntil) {
@@ -115,8 +187,8 @@
 
 // HasDelayedRemovals reports whether any removed server is still in use.
 func (l *ServerList) HasDelayedRemovals(now time.Time) bool {
-	for _, e := range l.entries {
-		if e.held != nil && now.Before(e.heldUntil) {
+	for id := range l.held {
+		if now.Before(l.entries[id].heldUntil) {
 			return true
 		}
 	}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -16,6 +16,8 @@
 	Runners []pool.RunnerInfo
 	// Config overrides the host's pool configuration; nil means no override.
 	Config *pool.Config
+	// Unchanged is set if the runners are the same as in the last Update.
+	Unchanged bool
 }
 
 // Host runs the pools that this daemon schedules. It isn't safe for concurrent
@@ -44,7 +46,8 @@
 		}
 		name := spec.Key.String()
 		keep[name] = true
-		if h.pools[name] == nil {
+		known := h.pools[name] != nil
+		if !known {
 			cfg := h.cfg
 			if spec.Config != nil {
 				cfg = *spec.Config
@@ -52,7 +55,9 @@
 			h.pools[name] = pool.New(cfg, pool.Ticket(now.UnixNano()))
 			h.meters[name] = &demandMeter{model: spec.Key.Model, since: now}
 		}
-		h.Step(now, name, pool.RunnersListed{Runners: spec.Runners})
+		if !known || !spec.Unchanged {
+			h.Step(now, name, pool.RunnersListed{Runners: spec.Runners})
+		}
 	}
 	for name := range h.pools {
 		if !keep[name] {
