edge, platform: check the lease immediately before a call to the cloud API is written

Cause, found while reading for sites whose platform checks no fencing token: usage reports were not checked against the lease at all, and orders of servers only before the connection was dialled, which takes up to a second. A holder whose lease ended in between sent a lower fencing token after its successor's calls. Role orders were checked at the write already.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -357,6 +357,7 @@
 		Window:   c.Window.Start(d.settings.Window).Unix(),
 		Fence:    term,
 		Reporter: d.vm,
+		Check:    d.termCheck(term),
 	}
 	for customer, n := range c.Counts {
 		report.Figures = append(report.Figures, hosting.UsageFigure{Customer: customer, Requests: n})
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -285,10 +285,7 @@
 		defer cancel()
 		order := hosting.CapacityOrder{
 			Service: service, FailureDomain: o.FailureDomain, Class: o.Class, Count: o.Count, Fence: term, Sender: f.vm,
-		}
-		if err := f.duties.termCheck(term)(); err != nil {
-			f.control.emit(countOrdered{service: service, order: o, outcome: hosting.OutcomeRefused, err: err})
-			return
+			Check: f.duties.termCheck(term),
 		}
 		outcome, err := f.capacity.SetCount(ctx, order)
 		f.control.emit(countOrdered{service: service, order: o, outcome: outcome, err: err})
--- a/hosting/hosting.go
+++ b/hosting/hosting.go
@@ -173,6 +173,9 @@
 	Fence    int64         `json:"fence"`
 	Reporter string        `json:"reporter"`
 	Figures  []UsageFigure `json:"figures"`
+	// Check runs immediately before the first byte is written; if it fails, nothing
+	// is sent. The platform may not check the fencing token. It may be nil.
+	Check func() error `json:"-"`
 }
 
 // Usage accepts per-customer usage reports, one per window.
@@ -214,6 +217,9 @@
 	// Fence is the fencing token, the lease term of the sender; Sender is its VM.
 	Fence  int64
 	Sender string
+	// Check runs immediately before the first byte is written; if it fails, nothing
+	// is sent. The platform may not check the fencing token. It may be nil.
+	Check func() error
 }
 
 // Capacity orders backend servers per service.
--- a/hosting/httpapi/resources.go
+++ b/hosting/httpapi/resources.go
@@ -33,6 +33,11 @@
 
 // Report implements hosting.Usage.
 func (c *Client) Report(ctx context.Context, report hosting.UsageReport) (hosting.Outcome, error) {
+	if report.Check != nil {
+		if err := report.Check(); err != nil {
+			return hosting.OutcomeRefused, err
+		}
+	}
 	return c.put(ctx, "/usage/"+strconv.FormatInt(report.Window, 10), report)
 }
 
