pool: let the prefix index grow with its blocks

Cause (heap profile of 32 daemons): a new pool allocated 512 KB for the ring of its prefix index, a quarter of a daemon's live heap with one pool; every daemon holds every pool as a fallback, which is 8 pools with 240 engines (4 MB) and 91 with 2,900 (47 MB). Test: TestIdlePoolIsSmall fails with the ring allocated in advance.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -346,3 +346,16 @@
 		t.Error("the pool does not hold the runners of the last list")
 	}
 }
+
+// Guards against pools that cost memory before they have work: a daemon holds a pool
+// for each 32 engines of the deployment.
+func TestIdlePoolIsSmall(t *testing.T) {
+	cost := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			New(DefaultConfig(), 0)
+		}
+	}).AllocedBytesPerOp()
+	if cost > 32<<10 {
+		t.Errorf("an idle pool takes %d bytes", cost)
+	}
+}
--- a/pool/prefix.go
+++ b/pool/prefix.go
@@ -36,14 +36,16 @@
 type prefixIndex struct {
 	// masks maps a block to a mask with one bit per runner slot.
 	masks map[uint64]uint32
-	// ring holds the blocks in the order in which they were added; next is the
-	// index of the oldest one once the ring is full.
+	// ring holds at most size blocks in the order in which they were added; next is
+	// the index of the oldest one once the ring is full. It grows with its blocks,
+	// because most daemons hold most pools for the case only that a scheduler fails.
 	ring []uint64
+	size int
 	next int
 }
 
 func newPrefixIndex(size int) *prefixIndex {
-	return &prefixIndex{masks: make(map[uint64]uint32), ring: make([]uint64, 0, size)}
+	return &prefixIndex{masks: make(map[uint64]uint32), size: size}
 }
 
 // store marks a block as present on a runner.
@@ -52,10 +54,10 @@
 		x.masks[block] = mask | 1<<runner
 		return
 	}
-	if cap(x.ring) == 0 {
+	if x.size == 0 {
 		return
 	}
-	if len(x.ring) < cap(x.ring) {
+	if len(x.ring) < x.size {
 		x.ring = append(x.ring, block)
 	} else {
 		delete(x.masks, x.ring[x.next])
