edge: leave room for a lost heartbeat before daemons read the store themselves

Cause: with 300 daemons in virtual time, replicas are up to 2.39 s old (two readers, a read each 0.8 s, three heartbeats on the way), and from 2.5 s on a daemon reads the topic itself. One lost or late heartbeat made a whole part of the graph read. Test: TestOnlyReadersReadTheStore fails with the old threshold.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -75,9 +75,12 @@
 }
 
 // readThreshold returns the age of a replica after which one of n daemons reads
-// the topic itself.
+// the topic itself. One lost heartbeat on the way from a reader stays below it.
 func readThreshold(n int) time.Duration {
-	return staleAfter + time.Duration(gossipRounds(n)-1)*member.HeartbeatInterval
+	if n <= member.MaxPeers+1 {
+		return staleAfter
+	}
+	return staleAfter + time.Duration(gossipRounds(n))*member.HeartbeatInterval
 }
 
 // tickFeeds decides which topics this daemon reads, and whether the store is
--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/peer"
 )
 
@@ -24,7 +26,6 @@
 		servers  = 20
 		rate     = 40
 		duration = 5 * time.Second
-		linkTime = 2 * time.Millisecond
 		// messagesPerSecond leaves a daemon half of its 12 KB/s for control with
 		// messages of 100 bytes.
 		messagesPerSecond = 60
@@ -34,29 +35,11 @@
 	)
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		var sent atomic.Int64
-		all := make(map[string]*scaleControl, daemons)
-		var order []*scaleControl
-		for i := range daemons {
-			vm := fmt.Sprint("vm-", i)
-			c := newScaleControlOf(t, vm, daemons, servers, 5)
-			c.send = func(to string, m peer.Message) {
-				sent.Add(1)
-				running.Go(func() {
-					time.Sleep(linkTime)
-					all[to].emit(peerMessage{from: vm, message: m, at: time.Now()})
-				})
-			}
-			all[vm] = c
-			order = append(order, c)
-		}
-		for _, c := range order {
-			running.Go(func() { c.run(ctx) })
-		}
+		n := startGossip(t, daemons, servers)
+		defer n.stop()
+		order := n.daemons
 		time.Sleep(2 * time.Second)
-		before := sent.Load()
+		before := n.sent.Load()
 		offset := order[0].offsets[feedServers]
 		for n := range int64(rate * duration / time.Second) {
 			record := serverOf(t, int(n)%servers, n+2, false)
@@ -65,7 +48,7 @@
 			time.Sleep(time.Second / rate)
 		}
 		last := offset + int64(rate*duration/time.Second) - 1
-		messages := float64(sent.Load()-before) / daemons / duration.Seconds()
+		messages := float64(n.sent.Load()-before) / daemons / duration.Seconds()
 		time.Sleep(within)
 		behind := 0
 		for _, c := range order {
@@ -73,10 +56,88 @@
 				behind++
 			}
 		}
-		cancel()
-		running.Wait()
 		t.Logf("%.0f messages a second for each daemon, %d daemons behind", messages, behind)
 		g.Expect(behind).To(BeZero())
 		g.Expect(messages).To(BeNumerically("<", messagesPerSecond))
 	})
 }
+
+// gossipNetwork runs the control goroutines of many daemons in one process. It
+// carries their messages, but no daemon reads the store.
+type gossipNetwork struct {
+	daemons []*scaleControl
+	sent    atomic.Int64
+	running sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// gossipLinkTime is the time that a message takes.
+const gossipLinkTime = 2 * time.Millisecond
+
+func startGossip(t *testing.T, daemons, servers int) *gossipNetwork {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	n := &gossipNetwork{cancel: cancel}
+	byVM := make(map[string]*scaleControl, daemons)
+	for i := range daemons {
+		vm := fmt.Sprint("vm-", i)
+		c := newScaleControlOf(t, vm, daemons, servers, 5)
+		c.send = func(to string, m peer.Message) {
+			n.sent.Add(1)
+			n.running.Go(func() {
+				time.Sleep(gossipLinkTime)
+				byVM[to].emit(peerMessage{from: vm, message: m, at: time.Now()})
+			})
+		}
+		byVM[vm] = c
+		n.daemons = append(n.daemons, c)
+	}
+	for _, c := range n.daemons {
+		n.running.Go(func() { c.run(ctx) })
+	}
+	return n
+}
+
+func (n *gossipNetwork) stop() {
+	n.cancel()
+	n.running.Wait()
+}
+
+// Guards against daemons that read a topic from the store although their peers keep
+// its replica fresh: with each of 300 daemons they would read it 400 times a second.
+func TestOnlyReadersReadTheStore(t *testing.T) {
+	for _, daemons := range []int{8, 62, 300} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := startGossip(t, daemons, 5)
+				defer n.stop()
+				unneeded, oldest := 0, time.Duration(0)
+				begin := time.Now()
+				for time.Since(begin) < 12*time.Second {
+					for id, f := range n.daemons[0].feeds {
+						readers := n.daemons[0].highCapacity.Ranks("read/"+f.topic.String(), readersPerTopic)
+						for _, c := range n.daemons {
+							enabled := c.feeds[id].follower.enabled.Load()
+							if slices.Contains(readers, c.vm) {
+								c.emit(feedPage{feed: feedID(id), page: hosting.KeyedPage{End: c.offsets[id]}})
+							} else if enabled && time.Since(begin) > 5*time.Second {
+								unneeded++
+							}
+							if id == int(feedServers) && time.Since(begin) > 5*time.Second {
+								oldest = max(oldest, time.Since(time.Unix(0, c.serversReplica.fresh.Load())))
+							}
+						}
+					}
+					time.Sleep(followWait)
+				}
+				t.Logf("replicas are up to %v old, the threshold is %v", oldest, readThreshold(daemons))
+				if oldest+member.HeartbeatInterval > readThreshold(daemons) {
+					t.Error("a single lost heartbeat makes daemons read the store")
+				}
+				if unneeded > 0 {
+					t.Errorf("%d reads of daemons whose peers have fresh replicas", unneeded)
+				}
+			})
+		})
+	}
+}
