platform, backend: bound the memory of answers that never end

Cause (a server in trouble may send bytes without end, in a head or a body): an event was bounded only while a line exceeded the read buffer, so that short lines without an empty one (fields, comments) collected without bound; a whole body took up to 16 MB for each request, a head up to net/http's 10 MB.

--- a/backend/call.go
+++ b/backend/call.go
@@ -17,6 +17,8 @@
 	idleConnTimeout = 10 * time.Second
 	maxIdlePerHost  = 256
 	connBufferBytes = 4 << 10
+	// maxHeaderBytes bounds the header lines of a response.
+	maxHeaderBytes = 64 << 10
 	// ReadTimeout is the longest time without a byte from an engine. Engines send
 	// a heartbeat every second.
 	ReadTimeout = 3 * time.Second
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -331,6 +331,8 @@
 		IdleConnTimeout:     idle,
 		ReadBufferSize:      connBufferBytes,
 		WriteBufferSize:     connBufferBytes,
+		// A server may send header lines without end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			raw, err := dial(ctx, network, addr)
 			if err != nil {
