--- a/pool/behaviour_test.go
+++ b/pool/behaviour_test.go
@@ -24,10 +24,12 @@
 	// granted requests whose first token missed the deadline.
 	tokens        map[string]float64
 	granted, late int
-	refused       map[Reason]int
-	refusedBy     map[string]int
-	refusals      int
-	lastRetry     time.Duration
+	// inTime counts the first tokens before the deadline by customer.
+	inTime    map[string]int
+	refused   map[Reason]int
+	refusedBy map[string]int
+	refusals  int
+	lastRetry time.Duration
 }
 
 type stream struct {
@@ -49,7 +51,7 @@
 func newSimulation(cfg Config, runners int) *simulation {
 	s := &simulation{
 		pool: New(cfg, 0), now: startTime, queue: map[string][]*stream{}, requests: map[string]Request{},
-		tokens: map[string]float64{}, refused: map[Reason]int{}, refusedBy: map[string]int{},
+		tokens: map[string]float64{}, inTime: map[string]int{}, refused: map[Reason]int{}, refusedBy: map[string]int{},
 	}
 	s.apply(s.pool.Step(s.now, RunnersListed{runnerList(runners)}))
 	return s
@@ -115,6 +117,8 @@
 			st.first = s.now.Sub(st.granted)
 			if !st.request.Deadline.IsZero() && s.now.After(st.request.Deadline) {
 				s.late++
+			} else {
+				s.inTime[st.request.Customer]++
 			}
 			events = append(events, Progressed{st.Ticket, 1, st.first, 0})
 			st.reported, st.reportedAt = s.now, 1
@@ -387,3 +391,44 @@
 	g.Expect(s.refused[ReasonNoRunner]).To(Equal(waiting))
 	g.Expect(s.pool.Waiting()).To(BeZero())
 }
+
+// Guards against a kind of request that is starved by another one: few long prompts
+// beside ten times as many short ones, below and above the capacity of the runners.
+// The load is that of estimates of 17,000 prompt tokens beside lookups of 400.
+func TestNoPromptSizeIsStarved(t *testing.T) {
+	const (
+		runners     = 12
+		length      = 20 * time.Second
+		longTokens  = 2200
+		shortTokens = 50
+	)
+	for name, overload := range map[string]float64{"half load": 0.55, "full load": 1, "overload": 1.6} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			random := rand.New(rand.NewPCG(3, 5))
+			s := newSimulation(DefaultConfig(), runners)
+			// Nine tenths of the prompt tokens are those of long prompts.
+			tokens := overload * runners * enginePrefill * engineStep.Seconds()
+			rates := map[string]float64{"long": 0.9 * tokens / longTokens, "short": 0.1 * tokens / shortTokens}
+			asked := map[string]int{}
+			for begin := s.now; s.now.Sub(begin) < length; s.step() {
+				for _, kind := range []string{"long", "short"} {
+					for due := random.ExpFloat64(); due < rates[kind]; due += random.ExpFloat64() {
+						r := Request{Customer: kind, Weight: 1, Priority: Interactive, PromptTokens: shortTokens, MaxTokens: 4, Deadline: s.now.Add(2500 * time.Millisecond)}
+						if kind == "long" {
+							r.PromptTokens, r.MaxTokens, r.Deadline = longTokens, 10, s.now.Add(5*time.Second)
+						}
+						asked[kind]++
+						s.send(r)
+					}
+				}
+			}
+			all := float64(s.inTime["long"]+s.inTime["short"]) / float64(asked["long"]+asked["short"])
+			for _, kind := range []string{"long", "short"} {
+				share := float64(s.inTime[kind]) / float64(asked[kind])
+				t.Logf("%s: %d asked, %.3f in time", kind, asked[kind], share)
+				g.Expect(share).To(BeNumerically(">=", all/2), kind)
+			}
+		})
+	}
+}
