edge: a stopping process leaves the member entry to its successor

Change: the announcer yields when the planned stop begins. Entries of servers that can't be decoded are counted beside their log line. Tests: TestStoppingProcessLeavesTheEntryOfItsSuccessor fails without the call; TestUnreadableServersAreCounted.

--- a/edge/control.go
+++ b/edge/control.go
@@ -196,6 +196,7 @@
 
 func (c *control) reportUndecodable(bad []registry.UndecodableEntry) {
 	for _, b := range bad {
+		serversUnreadable.Inc()
 		c.events.Record(event.KindFault, "server_unreadable", b.ID, event.F("error", b.Err.Error()))
 	}
 }
@@ -218,6 +219,7 @@
 func (c *control) stop() {
 	c.stopping = true
 	c.leaving[c.vm] = c.incarnation
+	c.announcer.yield()
 	c.duties.step(authority.Stop{})
 	c.updateMemberList(time.Now())
 	c.sendHeartbeat(member.SendHeartbeat{Peers: c.members.Peers()})
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -39,6 +39,7 @@
 	grantsByScheduler = metrics.NewCounter(`mimosakeel_edge_grants_total{by="scheduler"}`)
 	grantsFallback    = metrics.NewCounter(`mimosakeel_edge_grants_total{by="fallback"}`)
 	grantsRefused     = metrics.NewCounter("mimosakeel_edge_grants_refused_total")
+	serversUnreadable = metrics.NewCounter("mimosakeel_edge_servers_unreadable_total")
 	inboxDropped      = metrics.NewCounter("mimosakeel_edge_inbox_dropped_total")
 )
 
--- a/edge/members.go
+++ b/edge/members.go
@@ -123,6 +123,9 @@
 	// process.
 	foreign atomic.Int64
 	wake    chan struct{}
+	// yielded is set once this process leaves its VM to a successor. Only the control
+	// goroutine uses it.
+	yielded bool
 }
 
 func newAnnouncer(topics hosting.Topics, topic hosting.Topic, vm string, entry memberEntry, events *event.Recorder) *announcer {
@@ -133,7 +136,7 @@
 
 // observe checks a record of the member topic. Only the control goroutine calls it.
 func (a *announcer) observe(r hosting.KeyedRecord) {
-	if r.Key != a.vm || r.Offset <= a.foreign.Load() {
+	if a.yielded || r.Key != a.vm || r.Offset <= a.foreign.Load() {
 		return
 	}
 	if e, err := decodeMember(r.Value); err == nil && e.Incarnation == a.entry.Incarnation {
@@ -146,6 +149,11 @@
 	}
 }
 
+// yield ends the writing of entries that were replaced: during a planned stop the
+// next process of the VM may have started already. Only the control goroutine calls
+// it.
+func (a *announcer) yield() { a.yielded = true }
+
 // run writes the entry, and again whenever a newer record replaces it, until the
 // context ends.
 func (a *announcer) run(ctx context.Context) {
--- a/edge/members_test.go
+++ b/edge/members_test.go
@@ -85,3 +85,39 @@
 		})
 	}
 }
+
+// Guards against two processes of a VM that replace each other's entry: during a
+// planned stop, the entry of the next process stays.
+func TestStoppingProcessLeavesTheEntryOfItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newScaleControl(t, 8, 5, 1)
+		topics := newMemoryTopics()
+		c.announcer = newAnnouncer(topics, hosting.Topic{}, "vm-0", testMember("vm-0.a"), c.events)
+		done := make(chan struct{})
+		go func() { c.announcer.run(ctx); close(done) }()
+		time.Sleep(time.Second)
+		c.handle(c.now, stopRequested{})
+		c.apply(feedMembers, memberRecord(t, "vm-0", "vm-0.b"))
+		time.Sleep(5 * time.Second)
+		topics.mu.Lock()
+		g.Expect(topics.records).To(HaveLen(1))
+		topics.mu.Unlock()
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a page in which some entries have fields of a wrong type: the
+// others are used, and each bad one is counted.
+func TestUnreadableServersAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	c := newScaleControl(t, 8, 5, 1)
+	before := serversUnreadable.Get()
+	bad := hosting.KeyedRecord{Key: "i-bad", Value: []byte(`{"ID":"i-bad","Slots":"many"}`)}
+	c.apply(feedServers, bad, serverOf(t, 6, 1, false))
+	g.Expect(serversUnreadable.Get() - before).To(BeEquivalentTo(1))
+	g.Expect(c.servers.Load().server("i-6")).NotTo(BeNil())
+	g.Expect(c.servers.Load().server("i-bad")).To(BeNil())
+}
