dispatch: name the shared parts of the prompt where an attempt failed

Logs could not tell whether the engines of the incident 'requests that crash one engine after the other' ended because of content, retries or load: no line named what the requests held. The lines retried and failed now name the shared parts, and retried also how many events the client had got. TestFailedAttemptsLogPromptParts fails without the fields.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -147,7 +147,9 @@
 	return out.(*fakeReply), nil
 }
 
-func (f *fakes) serve(route catalog.Route) {
+func (f *fakes) serve(route catalog.Route) { f.servePrompt(route, nil) }
+
+func (f *fakes) servePrompt(route catalog.Route, prompt *Prompt) {
 	logger, err := event.NewLogger(&f.log, "info")
 	if err != nil {
 		panic(err) // The level is a constant.
@@ -157,7 +159,7 @@
 	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Usage: f, Events: events}
 	r := &Request{
 		ID: "r1", Customer: "acme", Route: &route, Service: &catalog.Service{Name: "s"},
-		Deadline: time.Now().Add(time.Minute),
+		Prompt: prompt, Deadline: time.Now().Add(time.Minute),
 	}
 	d.Serve(context.Background(), r, &f.answer)
 }
--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -94,10 +94,26 @@
 // logRetried logs why another attempt follows.
 func (c *call) logRetried(failed *AttemptError) {
 	countByReason("attempts_failed", failed.Reason)
-	c.Events.Record(event.KindRequest, "retried", c.request.ID,
+	fields := []event.Field{
 		event.F("server", failed.server()), event.F("reason", failed.Error()), event.F("run", string(failed.Run)),
 		event.F("down", strconv.FormatBool(failed.Down)), event.F("sent", strconv.Itoa(c.sent)),
-		event.F("of", strconv.Itoa(c.request.Route.MaxAttempts)))
+		event.F("of", strconv.Itoa(c.request.Route.MaxAttempts)), event.F("events", strconv.Itoa(c.times.events)),
+	}
+	c.Events.Record(event.KindRequest, "retried", c.request.ID, append(fields, c.partsFields()...)...)
+}
+
+// partsFields returns a log field with the IDs of the parts of the prompt that
+// other requests may share; nil if there are none.
+func (c *call) partsFields() []event.Field {
+	shared := c.request.Prompt.SharedParts()
+	if len(shared) == 0 {
+		return nil
+	}
+	ids := make([]string, len(shared))
+	for i, part := range shared {
+		ids[i] = part.ID
+	}
+	return []event.Field{event.F("parts", strings.Join(ids, ","))}
 }
 
 // logServed logs how a backend server answered the request.
@@ -155,6 +171,7 @@
 	}
 	if f.Cause != nil {
 		fields = append(fields, event.F("server", f.Cause.server()), event.F("cause", f.Cause.Error()))
+		fields = append(fields, c.partsFields()...)
 	}
 	c.Events.Record(event.KindRequest, "failed", c.request.ID, append(fields, f.Inputs...)...)
 }
--- a/dispatch/observe_test.go
+++ b/dispatch/observe_test.go
@@ -76,3 +76,17 @@
 	g.Expect(last.Field("broken")).To(Equal("true"))
 	g.Expect(last.Field("longest_gap")).NotTo(BeEmpty())
 }
+
+// Guards against crashes of servers that can't be traced to the content of the
+// requests: the lines of failed attempts must name the shared parts of the prompt.
+func TestFailedAttemptsLogPromptParts(t *testing.T) {
+	g := NewWithT(t)
+	f := fakes{servers: servers("a", "b"), runs: []any{unknown(), unknown()}, budget: 1}
+	f.servePrompt(lookup, &Prompt{Parts: []Part{{ID: "p1"}, {ID: "p2"}, {ID: "own"}}})
+	parts := map[string]string{}
+	for _, e := range f.logEvents(g) {
+		parts[e.What] = e.Field("parts")
+	}
+	g.Expect(parts).To(HaveKeyWithValue("retried", "p1,p2"))
+	g.Expect(parts).To(HaveKeyWithValue("failed", "p1,p2"))
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -37,6 +37,15 @@
 	LengthHint int
 }
 
+// SharedParts returns the parts that other requests may share, which are all but
+// the last one. p may be nil.
+func (p *Prompt) SharedParts() []Part {
+	if p == nil || len(p.Parts) < 2 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // Request is one request of a client. It is immutable once dispatched.
 type Request struct {
 	ID     string
