edge: quarantine parts of prompts that crash engines

Callers of sound requests saw broken streams and refusals, because requests with one part in their prompts ended each engine that began to answer them. Cause: nothing remembered why an engine had ended. Ruled out: retries alone (new request IDs are in each crash) and load (the first engine ended with two streams open).

A daemon whose connection to an engine breaks now checks whether the engine refuses connections. If so it reports the shared parts of its requests there to two collectors. These look for the fewest parts that explain all crashes, ask all daemons what they have served since, and quarantine the rest after three crashes at different moments. Daemons tell each other, and the store keeps the record, so that restarted daemons know it too. Requests are checked at their arrival, after the wait for a place and before the run. A refusal says when the quarantine ends.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/event"
@@ -21,11 +23,12 @@
 
 // Dispatcher runs requests. It is safe for concurrent use.
 type Dispatcher struct {
-	Scheduler Scheduler
-	Backends  Backends
-	Budget    RetryBudget
-	Usage     UsageCounter
-	Events    *event.Recorder
+	Scheduler  Scheduler
+	Backends   Backends
+	Budget     RetryBudget
+	Quarantine Quarantine
+	Usage      UsageCounter
+	Events     *event.Recorder
 }
 
 // Serve runs attempts of a request until the client is answered or the request
@@ -97,6 +100,9 @@
 // attempt runs one attempt: it places the request, sends it and relays the
 // answer.
 func (c *call) attempt(ctx context.Context) outcome {
+	if failed := c.quarantined(); failed != nil {
+		return c.afterFailure(ctx, failed)
+	}
 	asked := time.Now()
 	place, err := c.Scheduler.Place(ctx, PlacementRequest{Request: c.request, Avoid: c.avoid, Whole: c.prefilled, Resumed: c.started})
 	waited := time.Since(asked)
@@ -119,6 +125,9 @@
 	if ctx.Err() == nil && failed.Server != nil {
 		result.Failed, result.Down = failed.Server, failed.Down
 		c.avoid = append(c.avoid, failed.Server.ID)
+		if failed.Lost {
+			c.Quarantine.Lost(failed.Server, c.request.Prompt)
+		}
 	}
 	c.Scheduler.Done(place, result)
 	if failed.Run != backend.RunNever {
@@ -176,6 +185,8 @@
 		return outcome{failure: f}
 	case failed.Reason == reasonBudget:
 		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: budgetRetryAfter, Cause: failed}}
+	case failed.Reason == reasonQuarantined:
+		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: failed.RetryAfter, Cause: failed}}
 	case !c.mayRetry(failed.Run):
 		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: failedRetryAfter, Cause: failed}}
 	}
@@ -183,6 +194,19 @@
 	return outcome{}
 }
 
+// reasonQuarantined is the reason of a request whose content crashes servers.
+const reasonQuarantined = "quarantined"
+
+// quarantined returns the error of a request that must not be sent to a server
+// because of its content, or nil.
+func (c *call) quarantined() *AttemptError {
+	left, part := c.Quarantine.Left(c.request.Prompt)
+	if left <= 0 {
+		return nil
+	}
+	return &AttemptError{Run: backend.RunNever, Reason: reasonQuarantined, RetryAfter: left, Err: eris.Errorf("part %s crashes servers", part)}
+}
+
 const (
 	// reasonBudget is the reason if the retry budget allows no further attempt.
 	reasonBudget = "retry_budget"
@@ -211,6 +235,9 @@
 // run sends the request to the placement's servers and relays the answer.
 func (c *call) run(ctx context.Context, place *Placement) *AttemptError {
 	options := RunOptions{After: c.lastEventID, Fetch: place.Fetch}
+	if failed := c.quarantined(); failed != nil {
+		return failed
+	}
 	if place.Prefill != nil {
 		handle, failed := c.prefill(ctx, place)
 		if failed != nil {
@@ -239,6 +266,9 @@
 
 // send starts the run on the placement's server.
 func (c *call) send(ctx context.Context, place *Placement, options RunOptions) (Reply, *AttemptError) {
+	if failed := c.quarantined(); failed != nil {
+		return nil, failed
+	}
 	if !c.Scheduler.Usable(place.Server) {
 		return nil, &AttemptError{Run: backend.RunNever, Reason: "server_left", Server: place.Server}
 	}
@@ -331,6 +361,7 @@
 	if err := c.answer.Finish(); err != nil {
 		return clientWriteError(err)
 	}
+	c.Quarantine.Served(c.request.Prompt)
 	c.logServed(place, status)
 	return nil
 }
@@ -340,7 +371,7 @@
 	out := &AttemptError{Run: backend.RunUnknown, Reason: backend.FailureBroken.String(), Sent: true, Err: err}
 	var failed *backend.CallError
 	if errors.As(err, &failed) {
-		out.Reason, out.Down = failed.Failure.String(), failed.Down()
+		out.Reason, out.Down, out.Lost = failed.Failure.String(), failed.Down(), failed.Down()
 	}
 	return out
 }
@@ -375,5 +406,6 @@
 	if failed {
 		return &AttemptError{Run: backend.RunDone, Reason: reasonAnswered, Sent: true}
 	}
+	c.Quarantine.Served(c.request.Prompt)
 	return nil
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -40,8 +40,32 @@
 	began      []string
 	answer     fakeAnswer
 	log        bytes.Buffer
+
+	// quarantinedAfter is the number of calls of Left after which part "bad" is
+	// quarantined; -1 means never.
+	quarantinedAfter int
+	left             int
+	served           int
+	lost             []string
+}
+
+// guardFake implements Quarantine.
+type guardFake fakes
+
+func (f *guardFake) Left(p *Prompt) (time.Duration, string) {
+	f.left++
+	for _, part := range p.SharedParts() {
+		if part.ID == "bad" && f.left > f.quarantinedAfter {
+			return time.Minute, part.ID
+		}
+	}
+	return 0, ""
 }
 
+func (f *guardFake) Served(*Prompt) { f.served++ }
+
+func (f *guardFake) Lost(s *registry.Server, _ *Prompt) { f.lost = append(f.lost, s.ID) }
+
 type fakeAnswer struct {
 	status   int
 	body     string
@@ -156,7 +180,7 @@
 	}
 	events := event.NewRecorder(hlc.New(time.Now), "test", nil, logger)
 	defer events.Close()
-	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Usage: f, Events: events}
+	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Usage: f, Events: events}
 	r := &Request{
 		ID: "r1", Customer: "acme", Route: &route, Service: &catalog.Service{Name: "s"},
 		Prompt: prompt, Deadline: time.Now().Add(time.Minute),
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -174,7 +174,11 @@
 	Server *registry.Server
 	// Down is set if the attempt shows that the server takes no requests at all.
 	Down bool
-	Err  error
+	// Lost is set if the connection broke after the request was written.
+	Lost bool
+	// RetryAfter is the time after which a new attempt may succeed; 0 if unknown.
+	RetryAfter time.Duration
+	Err        error
 }
 
 // server returns the ID of the server that failed, for logs.
@@ -260,3 +264,14 @@
 	// number that it allows.
 	State(service string) (repeats int, allowed float64)
 }
+
+// Quarantine withholds requests whose content crashes backend servers.
+type Quarantine interface {
+	// Left returns the time for which requests that share a part with the prompt are
+	// not sent to servers, and that part; 0 if they are sent. p may be nil.
+	Left(p *Prompt) (left time.Duration, part string)
+	// Served records that a server answered a request completely.
+	Served(p *Prompt)
+	// Lost records that the connection to a server broke while it had a request.
+	Lost(server *registry.Server, p *Prompt)
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -59,8 +59,10 @@
 	view        atomic.Pointer[view]
 	memberTable *memberTable
 	announcer   *announcer
-	// loaded is closed once the configuration and the list of servers are known.
-	loaded chan struct{}
+	// loaded is closed once the configuration and the list of servers are known, and
+	// the quarantines too, for which it waits at most quarantineLoadWait after started.
+	loaded  chan struct{}
+	started time.Time
 	// serversReplica is the state of the local replica of the list of servers.
 	serversReplica replicaState
 
@@ -70,6 +72,7 @@
 	members          *member.Members
 	duties           *duties
 	fleet            *fleetControl
+	quarantine       *quarantineControl
 	clock            *metering.Clock
 	// pools holds the pools of the services in force.
 	pools *poolTable
@@ -112,6 +115,7 @@
 		events:      events,
 		inbox:       make(chan any, inboxSize),
 		loaded:      make(chan struct{}),
+		started:     time.Now(),
 		memberTable: table,
 		registry:    registry.NewServerList(source.DecodeServer),
 		members:     member.New(vm),
@@ -171,6 +175,7 @@
 	c.tickFeeds(now)
 	c.host.Tick(now)
 	c.duties.tick(now)
+	c.quarantine.tick(now)
 	if c.dropFinishedRoleChanges(now) {
 		c.rolesChanged = true
 	}
@@ -293,6 +298,14 @@
 		c.duties.ledger.Merge(m.Incarnation, m.Windows)
 	case *Push:
 		c.applyPush(now, ev.from, m)
+	case *CrashReport:
+		c.quarantine.crashed(now, m)
+	case *ServedInquiry:
+		c.quarantine.answerInquiry(now, ev.from, m)
+	case *PartsServed:
+		c.quarantine.partsServed(now, ev.from, m)
+	case *Quarantined:
+		c.quarantine.add(m.Part, m.Entry)
 	case *schedule.GrantRequest:
 		m.Request.Entry = ev.from
 		c.host.Request(now, m)
@@ -344,12 +357,18 @@
 	c.view.Store(next)
 }
 
-// signalLoaded closes loaded once the first configuration and list of servers
-// are known, so that waiting requests continue.
+// quarantineLoadWait is the time after the start from which on requests no longer
+// wait for the first read of the quarantines.
+const quarantineLoadWait = 500 * time.Millisecond
+
+// signalLoaded closes loaded once requests need not wait any longer.
 func (c *control) signalLoaded() {
 	if c.catalog.Load() == nil || c.feeds[feedServers].replica.End() == hosting.NoOffset {
 		return
 	}
+	if c.feeds[feedQuarantine].replica.End() == hosting.NoOffset && time.Since(c.started) < quarantineLoadWait {
+		return
+	}
 	select {
 	case <-c.loaded:
 	default:
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 
+	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/dispatch"
 	"github.com/mimosakeel/mimosakeel/event"
@@ -37,6 +38,8 @@
 	DecodeServer registry.Decode
 	// MemberTopic holds the entry of every daemon, by VM.
 	MemberTopic hosting.Topic
+	// QuarantineTopic holds the parts of prompts that crash servers.
+	QuarantineTopic hosting.Topic
 	// LeaseTopic holds the lease that selects the daemon that reports usage and
 	// orders servers, and the decisions of its holders.
 	LeaseTopic hosting.Topic
@@ -51,7 +54,9 @@
 	Usage    hosting.Usage
 	Capacity hosting.Capacity
 	Engines  EngineOrders
-	Events   *event.Recorder
+	// Dial opens connections to backend servers.
+	Dial   backend.DialFunc
+	Events *event.Recorder
 	// ClientHandler returns the HTTP handler for clients.
 	ClientHandler func(d *Daemon) http.Handler
 }
@@ -94,17 +99,24 @@
 	d.counter = metering.NewCounter(s.Usage.Window)
 	d.clock = metering.NewClock(bootNow, time.Now)
 	d.control.clock = d.clock
+	guard := newContentGuard(d.clock.Now)
+	guard.dial = cfg.Dial
+	d.control.quarantine = newQuarantineControl(d.control, s.Quarantine, guard)
+	guard.report = func(m *CrashReport) {
+		d.control.emit(controlTask{run: func(time.Time) { d.control.quarantine.report(m) }})
+	}
 	d.control.duties = d.newDuties(incarnation)
 	d.plain = newPlainScheduler(s.FailureDomain)
 	d.plain.servers = func(service string) []*registry.Server { return d.control.servers.Load().ofService(service) }
 	d.plain.serversFields = d.control.serversReplica.fields
 	d.budget = newRetryBudget(s.Retry, d.retryShares)
 	d.dispatcher = &dispatch.Dispatcher{
-		Scheduler: scheduler{engines: d.grants, plain: d.plain, server: d.server},
-		Backends:  cfg.Backends,
-		Budget:    d.budget,
-		Usage:     d,
-		Events:    cfg.Events,
+		Scheduler:  scheduler{engines: d.grants, plain: d.plain, server: d.server},
+		Backends:   cfg.Backends,
+		Budget:     d.budget,
+		Quarantine: guard,
+		Usage:      d,
+		Events:     cfg.Events,
 	}
 	d.metrics = d.newMetrics()
 	return d
@@ -287,6 +299,7 @@
 		return err
 	}
 	d.control.duties.ctx = work
+	d.control.quarantine.put = func(r hosting.KeyedRecord) { go d.putQuarantine(work, r) }
 	go d.control.run(work)
 	for _, f := range d.control.feeds {
 		go f.follower.run(work)
@@ -350,9 +363,10 @@
 // newFeeds returns the feeds of the topics that all daemons replicate.
 func (d *Daemon) newFeeds() (feeds [feedCount]*feed) {
 	topics := [feedCount]hosting.Topic{
-		feedConfig:  d.Source.ConfigTopic,
-		feedServers: d.Source.ServerTopic,
-		feedMembers: d.Source.MemberTopic,
+		feedConfig:     d.Source.ConfigTopic,
+		feedServers:    d.Source.ServerTopic,
+		feedMembers:    d.Source.MemberTopic,
+		feedQuarantine: d.Source.QuarantineTopic,
 	}
 	for id, topic := range topics {
 		read := func(page hosting.KeyedPage, reset bool) {
@@ -360,6 +374,7 @@
 		}
 		feeds[id] = &feed{topic: topic, replica: replica.New(), follower: newFollower(d.Topics, topic, d.Events, read)}
 	}
+	feeds[feedQuarantine].follower.wait = quarantineWait
 	return feeds
 }
 
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -36,6 +36,7 @@
 	feedConfig feedID = iota
 	feedServers
 	feedMembers
+	feedQuarantine
 	feedCount
 )
 
@@ -94,7 +95,8 @@
 			reader = reader || vm == c.vm
 		}
 		age := now.Sub(f.replica.Fresh())
-		f.follower.setEnabled(reader || f.replica.End() == hosting.NoOffset || age > limit)
+		longest := limit + f.follower.wait - followWait
+		f.follower.setEnabled(reader || f.replica.End() == hosting.NoOffset || age > longest)
 		if feedID(id) == feedServers && f.replica.End() != hosting.NoOffset {
 			c.serversReplica.set(f.replica.End(), f.replica.Fresh())
 			c.setStoreUnavailable(now, age > limit+unavailableMargin)
@@ -163,6 +165,8 @@
 			c.disconnect(vm)
 		}
 		c.updateMemberList(now)
+	case feedQuarantine:
+		c.quarantine.applyRecords(records)
 	}
 }
 
@@ -201,7 +205,10 @@
 func (c *control) notePeerEnd(vm string, id int, end int64) {
 	ends := c.peerEnds[vm]
 	if ends == nil {
-		ends = &[feedCount]int64{hosting.NoOffset, hosting.NoOffset, hosting.NoOffset}
+		ends = &[feedCount]int64{}
+		for i := range ends {
+			ends[i] = hosting.NoOffset
+		}
 		c.peerEnds[vm] = ends
 	}
 	ends[id] = max(ends[id], end)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -15,6 +15,9 @@
 	// followWait is the maximum wait of one long-poll read of a topic. It bounds the
 	// time for which a stalled connection hides a change.
 	followWait = 800 * time.Millisecond
+	// quarantineWait is followWait for quarantines, of which daemons also tell each
+	// other.
+	quarantineWait = 8 * time.Second
 	// followRetry is the mean pause after a failed read.
 	followRetry = 200 * time.Millisecond
 	// followTimeout is the time beyond followWait after which a read fails.
@@ -27,6 +30,8 @@
 	topics hosting.Topics
 	topic  hosting.Topic
 	events *event.Recorder
+	// wait is the maximum wait of one read.
+	wait time.Duration
 	// onPage receives each page. If reset is set, the page holds the newest record
 	// of each key, which happens at the start and after records were trimmed.
 	// Otherwise it holds the records that follow the known ones, possibly none.
@@ -41,7 +46,7 @@
 }
 
 func newFollower(topics hosting.Topics, topic hosting.Topic, events *event.Recorder, onPage func(hosting.KeyedPage, bool)) *follower {
-	f := &follower{topics: topics, topic: topic, events: events, onPage: onPage, wake: make(chan struct{}, 1)}
+	f := &follower{topics: topics, topic: topic, events: events, wait: followWait, onPage: onPage, wake: make(chan struct{}, 1)}
 	f.knownEnd.Store(hosting.NoOffset)
 	return f
 }
@@ -82,7 +87,7 @@
 
 // readOnce makes one read of the topic.
 func (f *follower) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
 	defer cancel()
 	from := f.knownEnd.Load()
 	if from == hosting.NoOffset || f.trimmed {
@@ -95,7 +100,7 @@
 		f.onPage(page, true)
 		return nil
 	}
-	page, err := f.topics.Follow(ctx, f.topic, from, followWait)
+	page, err := f.topics.Follow(ctx, f.topic, from, f.wait)
 	var trimmed *hosting.TrimmedError
 	if errors.As(err, &trimmed) {
 		f.trimmed = true
--- a/edge/message.go
+++ b/edge/message.go
@@ -7,6 +7,7 @@
 	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/metering"
 	"github.com/mimosakeel/mimosakeel/peer"
+	"github.com/mimosakeel/mimosakeel/quarantine"
 	"github.com/mimosakeel/mimosakeel/schedule"
 )
 
@@ -18,6 +19,10 @@
 	kindPush          peer.Kind = 34
 	kindCounts        peer.Kind = 35
 	kindRolesChanging peer.Kind = 36
+	kindCrashReport   peer.Kind = 37
+	kindServedInquiry peer.Kind = 38
+	kindPartsServed   peer.Kind = 39
+	kindQuarantined   peer.Kind = 40
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -62,6 +67,44 @@
 // MessageKind implements peer.Message.
 func (*UsageCounts) MessageKind() peer.Kind { return kindCounts }
 
+// CrashReport tells a collector that a server has ended while it had requests of
+// the sender.
+type CrashReport struct {
+	// Server identifies one run of the server's process.
+	Server   string               `cbor:"1,keyasint"`
+	Suspects []quarantine.Suspect `cbor:"2,keyasint"`
+}
+
+// ServedInquiry asks when the receiver last served requests with parts of prompts.
+type ServedInquiry struct {
+	Parts []string `cbor:"1,keyasint"`
+}
+
+// PartsServed answers a ServedInquiry.
+type PartsServed struct {
+	// Ages holds the time since each part was last served, without the parts that
+	// were not served lately.
+	Ages map[string]time.Duration `cbor:"1,keyasint"`
+}
+
+// Quarantined announces that a part of prompts crashes servers.
+type Quarantined struct {
+	Part  string           `cbor:"1,keyasint"`
+	Entry quarantine.Entry `cbor:"2,keyasint"`
+}
+
+// MessageKind implements peer.Message.
+func (*CrashReport) MessageKind() peer.Kind { return kindCrashReport }
+
+// MessageKind implements peer.Message.
+func (*ServedInquiry) MessageKind() peer.Kind { return kindServedInquiry }
+
+// MessageKind implements peer.Message.
+func (*PartsServed) MessageKind() peer.Kind { return kindPartsServed }
+
+// MessageKind implements peer.Message.
+func (*Quarantined) MessageKind() peer.Kind { return kindQuarantined }
+
 // Pull asks a peer for the records that the sender lacks.
 type Pull struct {
 	// Ends holds for each feed the offset from which on the sender lacks records.
@@ -95,6 +138,14 @@
 		return &RolesChanging{}
 	case kindCounts:
 		return &UsageCounts{}
+	case kindCrashReport:
+		return &CrashReport{}
+	case kindServedInquiry:
+		return &ServedInquiry{}
+	case kindPartsServed:
+		return &PartsServed{}
+	case kindQuarantined:
+		return &Quarantined{}
 	}
 	return schedule.NewMessage(kind)
 }
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -55,6 +55,9 @@
 		}
 		return 0
 	})
+	set.NewGauge("mimosakeel_edge_quarantined_parts", func() float64 {
+		return float64(d.control.quarantine.guard.list.Load().Active(d.clock.Now()))
+	})
 	set.NewGauge("mimosakeel_edge_inbox_length", func() float64 { return float64(len(d.control.inbox)) })
 	set.NewGauge("mimosakeel_edge_events_dropped", func() float64 { return float64(d.Events.Dropped()) })
 	return set
--- /dev/null
+++ b/edge/quarantine.go
@@ -0,0 +1,310 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mimosakeel/mimosakeel/backend"
+	"github.com/mimosakeel/mimosakeel/dispatch"
+	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/quarantine"
+	"github.com/mimosakeel/mimosakeel/registry"
+)
+
+const (
+	// crashCheckDelay is the time for which the broken connections of one server are
+	// collected before it is checked whether the server has ended.
+	crashCheckDelay = 30 * time.Millisecond
+	// crashCheckMemory is the time for which the result of a check is used.
+	crashCheckMemory = 2 * time.Second
+	// inquiryWait is the longest time for which the daemon that collects crash reports
+	// waits for what the others have served.
+	inquiryWait = 250 * time.Millisecond
+	// crashCollectors is the number of daemons that collect crash reports.
+	crashCollectors = 2
+	// maxPartBytes is the length up to which the ID of a part is used as it is.
+	maxPartBytes = 64
+	// quarantineRetry is the pause after a failed write of a quarantine.
+	quarantineRetry = 500 * time.Millisecond
+)
+
+var crashReports = metrics.NewCounter("mimosakeel_edge_crash_reports_total")
+
+// partKey identifies a part of a prompt, whatever the rest of the prompt holds.
+func partKey(id string) string {
+	if len(id) <= maxPartBytes {
+		return id
+	}
+	return "#" + strconv.FormatUint(xxhash.Sum64String(id), 16)
+}
+
+// contentGuard implements dispatch.Quarantine for the requests of this daemon. It
+// is safe for concurrent use.
+type contentGuard struct {
+	served *quarantine.Served
+	list   atomic.Pointer[quarantine.List]
+	// wallNow returns the time that all daemons agree on.
+	wallNow func() time.Time
+	dial    backend.DialFunc
+	// report delivers a crash report to the daemons that collect them.
+	report func(m *CrashReport)
+
+	mu sync.Mutex
+	// checks holds the servers that are being checked, or were recently, by run.
+	checks map[string]*crashCheck
+}
+
+// crashCheck is the check whether a server has ended. suspects are not yet reported.
+type crashCheck struct {
+	suspects []quarantine.Suspect
+	done     bool
+	crashed  bool
+}
+
+func newContentGuard(wallNow func() time.Time) *contentGuard {
+	return &contentGuard{served: quarantine.NewServed(), wallNow: wallNow, checks: map[string]*crashCheck{}}
+}
+
+// Left implements dispatch.Quarantine.
+func (q *contentGuard) Left(p *dispatch.Prompt) (time.Duration, string) {
+	list := q.list.Load()
+	if list.Len() == 0 {
+		return 0, ""
+	}
+	now := q.wallNow()
+	for _, part := range p.SharedParts() {
+		if left := list.Left(now, partKey(part.ID)); left > 0 {
+			return left, part.ID
+		}
+	}
+	return 0, ""
+}
+
+// Served implements dispatch.Quarantine.
+func (q *contentGuard) Served(p *dispatch.Prompt) {
+	now := time.Now()
+	for _, part := range p.SharedParts() {
+		q.served.Add(now, partKey(part.ID))
+	}
+}
+
+// Lost implements dispatch.Quarantine. A broken connection alone does not show that
+// the server has ended: it is reported if the server refuses new connections too.
+func (q *contentGuard) Lost(server *registry.Server, p *dispatch.Prompt) {
+	var suspects []quarantine.Suspect
+	for depth, part := range p.SharedParts() {
+		suspects = append(suspects, quarantine.Suspect{Part: partKey(part.ID), Depth: depth})
+	}
+	if len(suspects) == 0 || server.Draining {
+		return
+	}
+	run := server.ID + "/" + formatInt(server.StartedMs)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	check := q.checks[run]
+	switch {
+	case check == nil:
+		q.checks[run] = &crashCheck{suspects: suspects}
+		go q.check(server.Addr, run)
+	case !check.done:
+		check.suspects = append(check.suspects, suspects...)
+	case check.crashed:
+		q.report(&CrashReport{Server: run, Suspects: suspects})
+	}
+}
+
+// check reports the requests of a server that refuses connections.
+func (q *contentGuard) check(addr, run string) {
+	time.Sleep(crashCheckDelay)
+	conn, err := q.dial(context.Background(), "tcp", addr)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c := q.checks[run]
+	c.done, c.crashed = true, errors.Is(err, syscall.ECONNREFUSED)
+	if c.crashed {
+		q.report(&CrashReport{Server: run, Suspects: c.suspects})
+	}
+	c.suspects = nil
+	time.AfterFunc(crashCheckMemory, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		delete(q.checks, run)
+	})
+}
+
+// quarantineControl collects crash reports, decides which parts are quarantined, and
+// puts decisions into force. Only the control goroutine uses it.
+type quarantineControl struct {
+	*control
+	settings QuarantineSettings
+	guard    *contentGuard
+	detector *quarantine.Detector
+	// verdictAt is the latest time of the next decision; zero if none is due.
+	verdictAt time.Time
+	// unanswered holds the VMs that have not answered the inquiry.
+	unanswered map[string]bool
+	// put writes a record to the store in the background until that succeeds.
+	put func(record hosting.KeyedRecord)
+}
+
+func newQuarantineControl(c *control, s QuarantineSettings, guard *contentGuard) *quarantineControl {
+	return &quarantineControl{control: c, settings: s, guard: guard, detector: quarantine.NewDetector(s.Crashes), put: func(hosting.KeyedRecord) {}}
+}
+
+// collectors returns the VMs of the daemons that collect crash reports.
+func (q *quarantineControl) collectors() []string {
+	return q.highCapacity.Ranks("crashes", crashCollectors)
+}
+
+// report sends a crash report to the collectors.
+func (q *quarantineControl) report(m *CrashReport) {
+	parts := make([]string, 0, len(m.Suspects))
+	for _, s := range m.Suspects {
+		parts = append(parts, s.Part)
+	}
+	q.recordFault("server_crashed", m.Server, event.F("parts", strings.Join(parts, ",")))
+	for _, vm := range q.collectors() {
+		q.send(vm, m)
+	}
+}
+
+// crashed records a report. If the crashes accuse parts, it asks all daemons whether
+// they have served them.
+func (q *quarantineControl) crashed(now time.Time, m *CrashReport) {
+	crashReports.Inc()
+	q.detector.Crashed(now, quarantine.Crash{Server: m.Server, Suspects: m.Suspects})
+	list := q.guard.list.Load()
+	for _, s := range m.Suspects {
+		if list.Left(q.guard.wallNow(), s.Part) > 0 {
+			q.detector.Explained(s.Part)
+		}
+	}
+	suspected := q.detector.Suspected(now)
+	if len(suspected) == 0 || !q.verdictAt.IsZero() {
+		return
+	}
+	q.verdictAt = now.Add(inquiryWait)
+	q.unanswered = map[string]bool{}
+	for _, vm := range q.live.IDs() {
+		q.unanswered[vm] = true
+	}
+	for _, vm := range q.live.IDs() {
+		q.send(vm, &ServedInquiry{Parts: suspected})
+	}
+}
+
+// answerInquiry tells a collector when this daemon last served parts.
+func (q *quarantineControl) answerInquiry(now time.Time, from string, m *ServedInquiry) {
+	out := &PartsServed{Ages: map[string]time.Duration{}}
+	for _, part := range m.Parts {
+		if at := q.guard.served.Last(now, part); !at.IsZero() {
+			out.Ages[part] = now.Sub(at)
+		}
+	}
+	q.send(from, out)
+}
+
+// partsServed records the answer to an inquiry. It decides once all have answered.
+func (q *quarantineControl) partsServed(now time.Time, from string, m *PartsServed) {
+	for part, age := range m.Ages {
+		q.detector.Served(part, now.Add(-age))
+	}
+	delete(q.unanswered, from)
+	if len(q.unanswered) == 0 && !q.verdictAt.IsZero() {
+		q.decide(now)
+	}
+}
+
+func (q *quarantineControl) tick(now time.Time) {
+	if !q.verdictAt.IsZero() && !now.Before(q.verdictAt) {
+		q.decide(now)
+	}
+	if q.guard.list.Load().Len() > 0 && q.highCapacity.Owner("crashes") == q.vm {
+		for _, part := range q.guard.list.Load().Outdated(q.guard.wallNow()) {
+			q.remove(part)
+			q.put(hosting.KeyedRecord{Key: part})
+		}
+	}
+}
+
+// decide quarantines the parts that explain the crashes.
+func (q *quarantineControl) decide(now time.Time) {
+	q.verdictAt, q.unanswered = time.Time{}, nil
+	for {
+		part, ok := q.detector.Accused(now)
+		if !ok {
+			return
+		}
+		q.detector.Explained(part)
+		entry := quarantine.Entry{UntilMs: q.guard.wallNow().Add(q.settings.For).UnixMilli(), FoundBy: q.vm}
+		q.add(part, entry)
+		for _, vm := range q.live.IDs() {
+			if vm != q.vm {
+				q.send(vm, &Quarantined{Part: part, Entry: entry})
+			}
+		}
+		q.put(hosting.KeyedRecord{Key: part, Value: entry.Encode()})
+	}
+}
+
+// add puts a quarantine into force.
+func (q *quarantineControl) add(part string, e quarantine.Entry) {
+	next, changed := q.guard.list.Load().With(q.guard.wallNow(), part, e)
+	if !changed {
+		return
+	}
+	q.guard.list.Store(next)
+	q.detector.Quarantined(part)
+	q.recordFault("part_quarantined", part, event.F("until", e.Until().UTC().Format(time.RFC3339)), event.F("found_by", e.FoundBy))
+}
+
+// remove forgets a quarantine.
+func (q *quarantineControl) remove(part string) {
+	q.guard.list.Store(q.guard.list.Load().Without(part))
+	q.detector.Forget(part)
+	q.recordConfig("quarantine_removed", part)
+}
+
+// applyRecords puts records of the store into force.
+func (q *quarantineControl) applyRecords(records []hosting.KeyedRecord) {
+	for _, r := range records {
+		if r.Value == nil {
+			q.remove(r.Key)
+			continue
+		}
+		e, err := quarantine.DecodeEntry(r.Value)
+		if err != nil {
+			q.recordFault("quarantine_unreadable", r.Key, event.F("error", err.Error()))
+			continue
+		}
+		q.add(r.Key, e)
+	}
+}
+
+// putQuarantine writes a record until the store has acknowledged it, so that a
+// restart of all daemons does not lose it.
+func (d *Daemon) putQuarantine(ctx context.Context, r hosting.KeyedRecord) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		_, outcome, err := d.Topics.Put(ctx, d.Source.QuarantineTopic, hosting.NoOffset, r)
+		if outcome == hosting.OutcomeDone {
+			return
+		}
+		if failures == 0 {
+			d.Events.Record(event.KindFault, "quarantine_not_stored", r.Key, event.F("error", errorText(err)))
+		}
+		sleep(ctx, quarantineRetry)
+	}
+}
--- /dev/null
+++ b/edge/quarantine_test.go
@@ -0,0 +1,205 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/mimosakeel/mimosakeel/dispatch"
+	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/peer"
+	"github.com/mimosakeel/mimosakeel/quarantine"
+	"github.com/mimosakeel/mimosakeel/registry"
+)
+
+func promptOf(parts ...string) *dispatch.Prompt {
+	p := &dispatch.Prompt{}
+	for _, id := range append(parts, "own") {
+		p.Parts = append(p.Parts, dispatch.Part{ID: id})
+	}
+	return p
+}
+
+// Guards against servers that count as crashed although only connections broke, and
+// against reports that leave out some of the requests of a crashed server.
+func TestOnlyServersThatRefuseConnectionsAreReported(t *testing.T) {
+	server := &registry.Server{ID: "i-1", StartedMs: 7, Addr: "addr"}
+	cases := map[string]struct {
+		dial    error
+		server  registry.Server
+		reports int
+	}{
+		"refused":   {&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, *server, 2},
+		"accepted":  {nil, *server, 0},
+		"timed out": {eris.New("i/o timeout"), *server, 0},
+		"draining":  {&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, registry.Server{ID: "i-1", Draining: true}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				var mu sync.Mutex
+				var reports []*CrashReport
+				guard := newContentGuard(time.Now)
+				guard.dial = func(context.Context, string, string) (net.Conn, error) {
+					if c.dial != nil {
+						return nil, c.dial
+					}
+					client, _ := net.Pipe()
+					return client, nil
+				}
+				guard.report = func(m *CrashReport) {
+					mu.Lock()
+					defer mu.Unlock()
+					reports = append(reports, m)
+				}
+				guard.Lost(&c.server, promptOf("a"))
+				guard.Lost(&c.server, promptOf("a", "b"))
+				guard.Lost(&c.server, nil)
+				time.Sleep(2 * crashCheckDelay)
+				guard.Lost(&c.server, promptOf("late"))
+				time.Sleep(2 * crashCheckMemory)
+				mu.Lock()
+				defer mu.Unlock()
+				g.Expect(reports).To(HaveLen(c.reports))
+				if c.reports > 0 {
+					g.Expect(reports[0]).To(Equal(&CrashReport{Server: "i-1/7", Suspects: []quarantine.Suspect{{Part: "a"}, {Part: "a"}, {Part: "b", Depth: 1}}}))
+					g.Expect(reports[1].Suspects).To(Equal([]quarantine.Suspect{{Part: "late"}}))
+				}
+				guard.mu.Lock()
+				defer guard.mu.Unlock()
+				g.Expect(guard.checks).To(BeEmpty())
+			})
+		})
+	}
+}
+
+// Guards against IDs of parts that are too long for a record of the store.
+func TestLongPartsAreQuarantinedToo(t *testing.T) {
+	g := NewWithT(t)
+	long := strings.Repeat("x", 500)
+	g.Expect(len(partKey(long))).To(BeNumerically("<=", maxPartBytes))
+	g.Expect(partKey(long)).NotTo(Equal(partKey(long + "y")))
+	guard := newContentGuard(time.Now)
+	list, _ := guard.list.Load().With(time.Now(), partKey(long), quarantine.Entry{UntilMs: time.Now().Add(time.Minute).UnixMilli()})
+	guard.list.Store(list)
+	left, part := guard.Left(promptOf(long))
+	g.Expect(left).To(BeNumerically(">", 0))
+	g.Expect(part).To(Equal(long))
+	left, _ = guard.Left(&dispatch.Prompt{Parts: []dispatch.Part{{ID: "a"}, {ID: long}}})
+	g.Expect(left).To(BeZero(), "the last part belongs to one request only")
+}
+
+// crashNetwork connects the control states of several daemons. Messages arrive in
+// order once deliver is called.
+type crashNetwork struct {
+	daemons map[string]*scaleControl
+	queue   []sentFrom
+	stored  []hosting.KeyedRecord
+}
+
+type sentFrom struct {
+	from, to string
+	message  peer.Message
+}
+
+func newCrashNetwork(t *testing.T, vms ...string) *crashNetwork {
+	n := &crashNetwork{daemons: map[string]*scaleControl{}}
+	for _, vm := range vms {
+		c := newScaleControlOf(t, vm, len(vms), 4, 1)
+		c.send = func(to string, m peer.Message) { n.queue = append(n.queue, sentFrom{vm, to, m}) }
+		c.quarantine.put = func(r hosting.KeyedRecord) { n.stored = append(n.stored, r) }
+		n.daemons[vm] = c
+	}
+	return n
+}
+
+func (n *crashNetwork) deliver(now time.Time) {
+	for len(n.queue) > 0 {
+		m := n.queue[0]
+		n.queue = n.queue[1:]
+		if c := n.daemons[m.to]; c != nil {
+			c.handleMessage(now, peerMessage{from: m.from, message: m.message, at: now})
+		}
+	}
+}
+
+func (n *crashNetwork) left(vm, part string) time.Duration {
+	left, _ := n.daemons[vm].quarantine.guard.Left(promptOf(part))
+	return left
+}
+
+// Guards against a quarantine that does not reach all daemons or the store, and
+// against one of a part that only another daemon has served.
+func TestAllDaemonsQuarantineThePartThatCrashesServers(t *testing.T) {
+	g := NewWithT(t)
+	n := newCrashNetwork(t, "vm-0", "vm-1", "vm-2")
+	now := time.Now()
+	n.daemons["vm-2"].quarantine.guard.Served(promptOf("first", "deep"))
+	for i := range 3 {
+		reporter := n.daemons["vm-"+formatInt(int64(i%2))]
+		reporter.quarantine.report(&CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "first"}, {Part: "bad", Depth: 1}, {Part: "deep", Depth: 2}}})
+		now = now.Add(100 * time.Millisecond)
+		n.deliver(now)
+	}
+	for vm := range n.daemons {
+		g.Expect(n.left(vm, "bad")).To(BeNumerically("~", DefaultSettings().Quarantine.For, time.Second), vm)
+		g.Expect(n.left(vm, "first")).To(BeZero(), vm)
+		g.Expect(n.left(vm, "deep")).To(BeZero(), vm)
+	}
+	g.Expect(n.stored).NotTo(BeEmpty())
+	g.Expect(n.stored[0].Key).To(Equal("bad"))
+}
+
+// Guards against a decision that waits for ever for a daemon that does not answer.
+func TestSilentDaemonDelaysNoQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	n := newCrashNetwork(t, "vm-0", "vm-1", "vm-2")
+	silent := n.daemons["vm-0"].quarantine.collectors()[0]
+	for vm := range n.daemons {
+		if vm != silent {
+			silent = vm
+		}
+	}
+	now := time.Now()
+	reporter := n.daemons[silent]
+	for i := range 3 {
+		reporter.quarantine.report(&CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "bad"}}})
+		now = now.Add(100 * time.Millisecond)
+		delete(n.daemons, silent)
+		n.deliver(now)
+	}
+	collector := n.daemons[reporter.quarantine.collectors()[0]]
+	if collector == nil {
+		collector = n.daemons[reporter.quarantine.collectors()[1]]
+	}
+	g.Expect(collector.quarantine.guard.list.Load().Len()).To(BeZero())
+	collector.quarantine.tick(now.Add(inquiryWait))
+	g.Expect(collector.quarantine.guard.list.Load().Len()).To(Equal(1))
+}
+
+// Guards against quarantines that a restarted daemon does not take from the store,
+// unreadable records that end others, and records that stay for ever.
+func TestQuarantinesOfTheStoreAreInForce(t *testing.T) {
+	g := NewWithT(t)
+	n := newCrashNetwork(t, "vm-0")
+	c := n.daemons["vm-0"]
+	entry := quarantine.Entry{UntilMs: time.Now().Add(time.Minute).UnixMilli(), FoundBy: "vm-9"}
+	old := quarantine.Entry{UntilMs: time.Now().Add(-48 * time.Hour).UnixMilli()}
+	c.apply(feedQuarantine, hosting.KeyedRecord{Key: "bad", Value: entry.Encode()}, hosting.KeyedRecord{Key: "old", Value: old.Encode()},
+		hosting.KeyedRecord{Key: "bad", Value: []byte("{")})
+	g.Expect(n.left("vm-0", "bad")).To(BeNumerically(">", 50*time.Second))
+	g.Expect(n.left("vm-0", "old")).To(BeZero())
+	c.quarantine.tick(time.Now())
+	g.Expect(n.stored).To(Equal([]hosting.KeyedRecord{{Key: "old"}}))
+	c.apply(feedQuarantine, hosting.KeyedRecord{Key: "bad"})
+	g.Expect(n.left("vm-0", "bad")).To(BeZero())
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -41,6 +41,8 @@
 	StopGrace time.Duration `json:"stop_grace"`
 	// Retry bounds repeated attempts.
 	Retry RetrySettings `json:"retry"`
+	// Quarantine withholds requests whose content crashes servers.
+	Quarantine QuarantineSettings `json:"quarantine"`
 	// Lease is the duration of the lease that selects the daemon that reports usage
 	// and orders servers for all daemons. All daemons need equal values. Unit:
 	// duration. Default: 3s.
@@ -70,6 +72,18 @@
 	Window time.Duration `json:"window"`
 }
 
+// QuarantineSettings configure which requests are withheld because a part of their
+// prompt crashes servers.
+type QuarantineSettings struct {
+	// Crashes is the number of servers that end under requests with a part of a
+	// prompt before requests with it are refused; 0 refuses none. Unit: servers.
+	// Default: 3.
+	Crashes int `json:"crashes"`
+	// For is the time for which they are refused. After it, a single crash suffices.
+	// Unit: duration. Default: 10m0s.
+	For time.Duration `json:"for"`
+}
+
 // UsageSettings configure usage reports. All daemons need equal values.
 type UsageSettings struct {
 	// Window is the length of a window. Unit: duration. Default: 1m0s.
@@ -104,13 +118,14 @@
 // DefaultSettings returns the default settings. Required settings are empty.
 func DefaultSettings() Settings {
 	return Settings{
-		Cores:     1,
-		StopGrace: 8 * time.Second,
-		Retry:     RetrySettings{Ratio: 0.1, Extra: 10, Window: 10 * time.Second},
-		Lease:     3 * time.Second,
-		Usage:     UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
-		Fleet:     FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
-		LogLevel:  "info",
+		Cores:      1,
+		StopGrace:  8 * time.Second,
+		Retry:      RetrySettings{Ratio: 0.1, Extra: 10, Window: 10 * time.Second},
+		Quarantine: QuarantineSettings{Crashes: 3, For: 10 * time.Minute},
+		Lease:      3 * time.Second,
+		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
+		Fleet:      FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
+		LogLevel:   "info",
 	}
 }
 
@@ -155,13 +170,14 @@
 		}
 	}
 	positive := map[string]bool{
-		"cores":        s.Cores > 0,
-		"stop_grace":   s.StopGrace > 0,
-		"retry.window": s.Retry.Window > 0,
-		"lease":        s.Lease > 0,
-		"usage.window": s.Usage.Window > 0,
-		"usage.grace":  s.Usage.Grace > 0,
-		"usage.due":    s.Usage.Due > s.Usage.Grace,
+		"cores":          s.Cores > 0,
+		"stop_grace":     s.StopGrace > 0,
+		"retry.window":   s.Retry.Window > 0,
+		"quarantine.for": s.Quarantine.For > 0,
+		"lease":          s.Lease > 0,
+		"usage.window":   s.Usage.Window > 0,
+		"usage.grace":    s.Usage.Grace > 0,
+		"usage.due":      s.Usage.Due > s.Usage.Grace,
 	}
 	for name, ok := range positive {
 		if !ok {
@@ -171,6 +187,9 @@
 	if s.Retry.Ratio < 0 {
 		d.Report("retry.ratio", "must not be negative")
 	}
+	if s.Quarantine.Crashes < 0 {
+		d.Report("quarantine.crashes", "must not be negative")
+	}
 	if s.Retry.Extra < 0 {
 		d.Report("retry.extra", "must not be negative")
 	}
--- a/event/explain.go
+++ b/event/explain.go
@@ -175,6 +175,7 @@
 	"no_request_id":   "the request carried no id",
 	"no_server":       "the process knew no usable server of the service, or all of them had failed the request",
 	"server_left":     "the server left after it was chosen and before the request was sent",
+	"quarantined":     "a part of the prompt has crashed several servers, and requests with it are not sent for a time",
 	"retry_budget":    "the last attempt failed and the retry budget was used up",
 	"client_left":     "the client closed its connection before the answer was complete",
 	"client_write":    "the client's connection broke while the answer was written",
--- /dev/null
+++ b/quarantine/detector.go
@@ -0,0 +1,197 @@
+// Package quarantine finds the parts of prompts that crash backend servers. It
+// makes the decisions only: others collect the reports, spread the results and
+// withhold the requests.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// crashMemory is the time for which a crash counts.
+	crashMemory = 10 * time.Minute
+	// sameMoment is the time within which crashes count as one: servers that end at
+	// the same moment were evicted or lost power together.
+	sameMoment = 50 * time.Millisecond
+	// servedFactor multiplies the number of crashes that are needed against a part
+	// that was served shortly before them.
+	servedFactor = 3
+	// maxCrashes and maxSuspects bound the memory of the detector.
+	maxCrashes  = 512
+	maxSuspects = 512
+)
+
+// Suspect is a part of a prompt of which a server had a request when it ended.
+type Suspect struct {
+	Part string `cbor:"1,keyasint"`
+	// Depth is the index of the part in its prompt.
+	Depth int `cbor:"2,keyasint"`
+}
+
+// Crash is the end of a server that had requests.
+type Crash struct {
+	// Server identifies one run of the server's process.
+	Server   string
+	Suspects []Suspect
+}
+
+// Detector decides which parts crash servers. It looks for the fewest parts that
+// explain all crashes, because the requests that ran beside the one that crashed a
+// server are suspects too. It isn't safe for concurrent use.
+type Detector struct {
+	// crashes is the number of crashes needed; 0 finds nothing.
+	crashes int
+	log     []crash
+	// served holds when a suspect was last served.
+	served map[string]time.Time
+	// relapsed holds the parts that were quarantined before. A single crash
+	// suffices for them.
+	relapsed map[string]bool
+}
+
+type crash struct {
+	server string
+	at     time.Time
+	// depth holds the depth of each suspect.
+	depth map[string]int
+	// explained is set once a quarantined part explains the crash.
+	explained bool
+}
+
+// NewDetector returns a detector that needs a number of crashes to accuse a part.
+func NewDetector(crashes int) *Detector {
+	return &Detector{crashes: crashes, served: map[string]time.Time{}, relapsed: map[string]bool{}}
+}
+
+// Crashed records a crash. Reports of several daemons on the same server add up.
+func (d *Detector) Crashed(now time.Time, c Crash) {
+	d.expire(now)
+	at := slices.IndexFunc(d.log, func(known crash) bool { return known.server == c.Server })
+	if at < 0 {
+		if len(d.log) == maxCrashes {
+			d.log = slices.Delete(d.log, 0, 1)
+		}
+		d.log = append(d.log, crash{server: c.Server, at: now, depth: map[string]int{}})
+		at = len(d.log) - 1
+	}
+	for _, s := range c.Suspects {
+		if len(d.log[at].depth) < maxSuspects {
+			d.log[at].depth[s.Part] = max(d.log[at].depth[s.Part], s.Depth)
+		}
+	}
+}
+
+// expire forgets crashes that no longer count, and when their suspects were served.
+func (d *Detector) expire(now time.Time) {
+	d.log = slices.DeleteFunc(d.log, func(c crash) bool { return now.Sub(c.at) > crashMemory })
+	maps.DeleteFunc(d.served, func(part string, _ time.Time) bool {
+		return !slices.ContainsFunc(d.log, func(c crash) bool { _, ok := c.depth[part]; return ok })
+	})
+}
+
+// Served records that a server answered a request with a part completely. A part
+// that no crash names is ignored.
+func (d *Detector) Served(part string, at time.Time) {
+	suspected := slices.ContainsFunc(d.log, func(c crash) bool { _, ok := c.depth[part]; return ok })
+	if suspected && at.After(d.served[part]) {
+		d.served[part] = at
+	}
+}
+
+// Quarantined records that a part is or was quarantined.
+func (d *Detector) Quarantined(part string) { d.relapsed[part] = true }
+
+// Explained records that a part is the cause of the crashes that name it. They then
+// accuse no other part.
+func (d *Detector) Explained(part string) {
+	for i := range d.log {
+		if _, ok := d.log[i].depth[part]; ok {
+			d.log[i].explained = true
+		}
+	}
+}
+
+// Forget drops the memory of an earlier quarantine.
+func (d *Detector) Forget(part string) { delete(d.relapsed, part) }
+
+// Suspected returns the parts that enough crashes accuse. Most of them may have
+// been beside the cause: Accused decides once it is known when they were last served.
+func (d *Detector) Suspected(now time.Time) []string {
+	d.expire(now)
+	var out []string
+	for part, e := range d.evidence() {
+		if d.enough(part, e) {
+			out = append(out, part)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Accused returns the next part to quarantine, or false if there is none. It
+// accuses the part that explains most crashes, among equals the deepest, which the
+// fewest sound requests share.
+func (d *Detector) Accused(now time.Time) (string, bool) {
+	d.expire(now)
+	all := d.evidence()
+	maps.DeleteFunc(all, func(part string, e evidence) bool { return !d.enough(part, e) })
+	if len(all) == 0 {
+		return "", false
+	}
+	return slices.MaxFunc(slices.Sorted(maps.Keys(all)), func(a, b string) int {
+		return cmp.Or(compareBool(d.relapsed[a], d.relapsed[b]), cmp.Compare(all[a].count, all[b].count), cmp.Compare(all[a].depth, all[b].depth))
+	}), true
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// evidence sums up the crashes after a part was last served.
+type evidence struct {
+	count int
+	last  time.Time
+	depth int
+}
+
+func (d *Detector) evidence() map[string]evidence {
+	out := map[string]evidence{}
+	for _, c := range d.log {
+		if c.explained {
+			continue
+		}
+		for part, depth := range c.depth {
+			e := out[part]
+			e.depth = max(e.depth, depth)
+			if c.at.After(d.served[part]) && (e.count == 0 || c.at.Sub(e.last) >= sameMoment) {
+				e.count++
+				e.last = c.at
+			}
+			out[part] = e
+		}
+	}
+	return out
+}
+
+// enough reports whether the evidence against a part suffices.
+func (d *Detector) enough(part string, e evidence) bool {
+	need := d.crashes
+	switch {
+	case d.crashes == 0:
+		return false
+	case d.relapsed[part]:
+		need = 1
+	case !d.served[part].IsZero():
+		need *= servedFactor
+	}
+	return e.count >= need
+}
