edge: keep crash reports through restarts of the daemons that collect them

A part that crashes an engine every few seconds would not be found while the collecting daemons are restarted one after the other, since their memory ends with them. Each daemon now sends its own earlier reports to processes that become collectors. A collector asks at most 32 daemons; a verdict needs an inquiry about that part. TestNewCollectorsLearnEarlierCrashes fails without informCollectors.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -103,7 +103,7 @@
 	guard.dial = cfg.Dial
 	d.control.quarantine = newQuarantineControl(d.control, s.Quarantine, guard)
 	guard.report = func(m *CrashReport) {
-		d.control.emit(controlTask{run: func(time.Time) { d.control.quarantine.report(m) }})
+		d.control.emit(controlTask{run: func(now time.Time) { d.control.quarantine.report(now, m) }})
 	}
 	d.control.duties = d.newDuties(incarnation)
 	d.plain = newPlainScheduler(s.FailureDomain)
--- a/edge/message.go
+++ b/edge/message.go
@@ -73,6 +73,8 @@
 	// Server identifies one run of the server's process.
 	Server   string               `cbor:"1,keyasint"`
 	Suspects []quarantine.Suspect `cbor:"2,keyasint"`
+	// Age is the time since the server ended.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // ServedInquiry asks when the receiver last served requests with parts of prompts.
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +33,11 @@
 	inquiryWait = 250 * time.Millisecond
 	// crashCollectors is the number of daemons that collect crash reports.
 	crashCollectors = 2
+	// maxInquired bounds the daemons that a collector asks and tells directly. The
+	// others learn a quarantine from the store and by gossip.
+	maxInquired = 32
+	// maxSentReports bounds the reports that a daemon keeps for new collectors.
+	maxSentReports = 64
 	// maxPartBytes is the length up to which the ID of a part is used as it is.
 	maxPartBytes = 64
 	// quarantineRetry is the pause after a failed write of a quarantine.
@@ -154,12 +160,23 @@
 	detector *quarantine.Detector
 	// verdictAt is the latest time of the next decision; zero if none is due.
 	verdictAt time.Time
-	// unanswered holds the VMs that have not answered the inquiry.
+	// asked holds the parts of the inquiry, and unanswered the VMs that have not
+	// answered it.
+	asked      []string
 	unanswered map[string]bool
+	// sent holds the reports of this daemon, oldest first, and informed the processes
+	// that have got them.
+	sent     []sentReport
+	informed map[string]bool
 	// put writes a record to the store in the background until that succeeds.
 	put func(record hosting.KeyedRecord)
 }
 
+type sentReport struct {
+	at     time.Time
+	report *CrashReport
+}
+
 func newQuarantineControl(c *control, s QuarantineSettings, guard *contentGuard) *quarantineControl {
 	return &quarantineControl{control: c, settings: s, guard: guard, detector: quarantine.NewDetector(s.Crashes), put: func(hosting.KeyedRecord) {}}
 }
@@ -169,39 +186,70 @@
 	return q.highCapacity.Ranks("crashes", crashCollectors)
 }
 
+// inquired returns the VMs of the daemons that a collector asks and tells directly.
+func (q *quarantineControl) inquired() []string { return q.live.Ranks("crashes", maxInquired) }
+
 // report sends a crash report to the collectors.
-func (q *quarantineControl) report(m *CrashReport) {
+func (q *quarantineControl) report(now time.Time, m *CrashReport) {
 	parts := make([]string, 0, len(m.Suspects))
 	for _, s := range m.Suspects {
 		parts = append(parts, s.Part)
 	}
 	q.recordFault("server_crashed", m.Server, event.F("parts", strings.Join(parts, ",")))
+	q.informCollectors(now)
 	for _, vm := range q.collectors() {
 		q.send(vm, m)
 	}
+	if len(q.sent) == maxSentReports {
+		q.sent = slices.Delete(q.sent, 0, 1)
+	}
+	q.sent = append(q.sent, sentReport{at: now, report: m})
 }
 
-// crashed records a report. If the crashes accuse parts, it asks all daemons whether
-// they have served them.
+// informCollectors sends the earlier reports of this daemon to collectors that have
+// taken over from others or were restarted.
+func (q *quarantineControl) informCollectors(now time.Time) {
+	informed := map[string]bool{}
+	for _, vm := range q.collectors() {
+		process := q.memberTable.load()[vm].Incarnation
+		informed[process] = true
+		if q.informed[process] {
+			continue
+		}
+		for _, s := range q.sent {
+			q.send(vm, &CrashReport{Server: s.report.Server, Suspects: s.report.Suspects, Age: now.Sub(s.at)})
+		}
+	}
+	q.informed = informed
+}
+
+// crashed records a report and asks other daemons about the parts that it accuses.
 func (q *quarantineControl) crashed(now time.Time, m *CrashReport) {
 	crashReports.Inc()
-	q.detector.Crashed(now, quarantine.Crash{Server: m.Server, Suspects: m.Suspects})
+	q.detector.Crashed(now.Add(-max(m.Age, 0)), quarantine.Crash{Server: m.Server, Suspects: m.Suspects})
 	list := q.guard.list.Load()
 	for _, s := range m.Suspects {
 		if list.Left(q.guard.wallNow(), s.Part) > 0 {
 			q.detector.Explained(s.Part)
 		}
 	}
+	if q.verdictAt.IsZero() {
+		q.inquire(now)
+	}
+}
+
+// inquire asks other daemons about the parts that the crashes accuse.
+func (q *quarantineControl) inquire(now time.Time) {
 	suspected := q.detector.Suspected(now)
-	if len(suspected) == 0 || !q.verdictAt.IsZero() {
+	if len(suspected) == 0 {
 		return
 	}
 	q.verdictAt = now.Add(inquiryWait)
-	q.unanswered = map[string]bool{}
-	for _, vm := range q.live.IDs() {
+	q.asked, q.unanswered = suspected, map[string]bool{}
+	for _, vm := range q.inquired() {
 		q.unanswered[vm] = true
 	}
-	for _, vm := range q.live.IDs() {
+	for vm := range q.unanswered {
 		q.send(vm, &ServedInquiry{Parts: suspected})
 	}
 }
@@ -229,6 +277,9 @@
 }
 
 func (q *quarantineControl) tick(now time.Time) {
+	if len(q.sent) > 0 {
+		q.informCollectors(now)
+	}
 	if !q.verdictAt.IsZero() && !now.Before(q.verdictAt) {
 		q.decide(now)
 	}
@@ -240,7 +291,8 @@
 	}
 }
 
-// decide quarantines the parts that explain the crashes.
+// decide quarantines the parts that explain the crashes. Another inquiry follows if
+// one of them was not asked about.
 func (q *quarantineControl) decide(now time.Time) {
 	q.verdictAt, q.unanswered = time.Time{}, nil
 	for {
@@ -248,10 +300,14 @@
 		if !ok {
 			return
 		}
+		if !slices.Contains(q.asked, part) {
+			q.inquire(now)
+			return
+		}
 		q.detector.Explained(part)
 		entry := quarantine.Entry{UntilMs: q.guard.wallNow().Add(q.settings.For).UnixMilli(), FoundBy: q.vm}
 		q.add(part, entry)
-		for _, vm := range q.live.IDs() {
+		for _, vm := range q.inquired() {
 			if vm != q.vm {
 				q.send(vm, &Quarantined{Part: part, Entry: entry})
 			}
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -146,7 +148,7 @@
 	n.daemons["vm-2"].quarantine.guard.Served(promptOf("first", "deep"))
 	for i := range 3 {
 		reporter := n.daemons["vm-"+formatInt(int64(i%2))]
-		reporter.quarantine.report(&CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "first"}, {Part: "bad", Depth: 1}, {Part: "deep", Depth: 2}}})
+		reporter.quarantine.report(now, &CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "first"}, {Part: "bad", Depth: 1}, {Part: "deep", Depth: 2}}})
 		now = now.Add(100 * time.Millisecond)
 		n.deliver(now)
 	}
@@ -172,7 +174,7 @@
 	now := time.Now()
 	reporter := n.daemons[silent]
 	for i := range 3 {
-		reporter.quarantine.report(&CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "bad"}}})
+		reporter.quarantine.report(now, &CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "bad"}}})
 		now = now.Add(100 * time.Millisecond)
 		delete(n.daemons, silent)
 		n.deliver(now)
@@ -203,3 +205,37 @@
 	c.apply(feedQuarantine, hosting.KeyedRecord{Key: "bad"})
 	g.Expect(n.left("vm-0", "bad")).To(BeZero())
 }
+
+// Guards against crashes that nobody remembers because the daemons that collected the
+// reports were restarted one after the other.
+func TestNewCollectorsLearnEarlierCrashes(t *testing.T) {
+	g := NewWithT(t)
+	n := newCrashNetwork(t, "vm-0", "vm-1", "vm-2", "vm-3")
+	reporter := ""
+	collectors := n.daemons["vm-0"].quarantine.collectors()
+	for vm := range n.daemons {
+		if !slices.Contains(collectors, vm) {
+			reporter = vm
+		}
+	}
+	now := time.Now()
+	for i := range 3 {
+		q := n.daemons[reporter].quarantine
+		q.report(now, &CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "bad"}}})
+		n.deliver(now)
+		now = now.Add(time.Second)
+		if i < 2 {
+			g.Expect(n.left(reporter, "bad")).To(BeZero())
+		}
+		for _, vm := range collectors {
+			// The process of the VM is replaced by a new one.
+			old := n.daemons[vm].quarantine
+			old.detector = quarantine.NewDetector(DefaultSettings().Quarantine.Crashes)
+			index, _ := strconv.Atoi(strings.TrimPrefix(vm, "vm-"))
+			n.daemons[reporter].apply(feedMembers, memberOf(t, index, "b"+formatInt(int64(i))))
+		}
+		q.tick(now)
+		n.deliver(now)
+	}
+	g.Expect(n.left(reporter, "bad")).To(BeNumerically(">", 0))
+}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -67,15 +67,15 @@
 }
 
 // Crashed records a crash. Reports of several daemons on the same server add up.
-func (d *Detector) Crashed(now time.Time, c Crash) {
-	d.expire(now)
+func (d *Detector) Crashed(when time.Time, c Crash) {
 	at := slices.IndexFunc(d.log, func(known crash) bool { return known.server == c.Server })
 	if at < 0 {
 		if len(d.log) == maxCrashes {
 			d.log = slices.Delete(d.log, 0, 1)
 		}
-		d.log = append(d.log, crash{server: c.Server, at: now, depth: map[string]int{}})
-		at = len(d.log) - 1
+		d.log = append(d.log, crash{server: c.Server, at: when, depth: map[string]int{}})
+		slices.SortStableFunc(d.log, func(a, b crash) int { return a.at.Compare(b.at) })
+		at = slices.IndexFunc(d.log, func(known crash) bool { return known.server == c.Server })
 	}
 	for _, s := range c.Suspects {
 		if len(d.log[at].depth) < maxSuspects {
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -117,7 +117,7 @@
 	for i := range 2 * maxSuspects {
 		many = append(many, fmt.Sprint("p", i))
 	}
-	d.Crashed(at(0), Crash{Server: "many", Suspects: suspects(many...)})
+	d.Crashed(at(1e6), Crash{Server: "many", Suspects: suspects(many...)})
 	g.Expect(d.log[len(d.log)-1].depth).To(HaveLen(maxSuspects))
 }
 
