--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -72,6 +72,9 @@
 	mayHaveRun bool
 	// began is set once a backend server began to answer.
 	began bool
+	// attemptBegan is the time of the first event of the current attempt; zero before
+	// it.
+	attemptBegan time.Time
 	// started is set once the client has been sent the start of a stream.
 	started bool
 	// lastEventID is the ID of the last event that the client has received.
@@ -126,7 +129,7 @@
 		result.Failed, result.Down = failed.Server, failed.Down
 		c.avoid = append(c.avoid, failed.Server.ID)
 		if failed.Lost {
-			c.Quarantine.Lost(failed.Server, c.request.Prompt)
+			c.Quarantine.Lost(failed.Server, c.request.Prompt, c.flowed())
 		}
 	}
 	c.Scheduler.Done(place, result)
@@ -232,8 +235,17 @@
 	return run == backend.RunNever || route.Repeatable()
 }
 
+// flowed returns the time since the first event of the current attempt.
+func (c *call) flowed() time.Duration {
+	if c.attemptBegan.IsZero() {
+		return 0
+	}
+	return time.Since(c.attemptBegan)
+}
+
 // run sends the request to the placement's servers and relays the answer.
 func (c *call) run(ctx context.Context, place *Placement) *AttemptError {
+	c.attemptBegan = time.Time{}
 	options := RunOptions{After: c.lastEventID, Fetch: place.Fetch}
 	if failed := c.quarantined(); failed != nil {
 		return failed
@@ -326,6 +338,9 @@
 			return replyError(err)
 		}
 		c.markBegun(place)
+		if c.attemptBegan.IsZero() {
+			c.attemptBegan = time.Now()
+		}
 		if !c.started {
 			c.started = true
 			c.markFirstByte()
--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -69,6 +69,9 @@
 			f := &fakes{servers: servers("a", "b"), runs: []any{c.run, &fakeReply{status: 200, events: events("2")}}, quarantinedAfter: 99, budget: 5}
 			f.servePrompt(draft, crashing)
 			g.Expect(f.lost).To(Equal(c.lost))
+			if name == "in the answer" {
+				g.Expect(f.flowed).To(Equal([]bool{true}))
+			}
 			g.Expect(f.answer.finished).To(BeTrue())
 			g.Expect(f.served).To(Equal(1))
 		})
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -273,5 +273,6 @@
 	// Served records that a server answered a request completely.
 	Served(p *Prompt)
 	// Lost records that the connection to a server broke while it had a request.
-	Lost(server *registry.Server, p *Prompt)
+	// flowed is the time since the answer's first event; 0 if there was none.
+	Lost(server *registry.Server, p *Prompt, flowed time.Duration)
 }
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -38,6 +38,9 @@
 	maxInquired = 32
 	// maxSentReports bounds the reports that a daemon keeps for new collectors.
 	maxSentReports = 64
+	// flowingAfter is the time since its first event after which an answer is well
+	// under way. An engine that crashes on a part ends soon after its first token.
+	flowingAfter = 250 * time.Millisecond
 	// maxPartBytes is the length up to which the ID of a part is used as it is.
 	maxPartBytes = 64
 	// quarantineRetry is the pause after a failed write of a quarantine.
@@ -106,10 +109,10 @@
 
 // Lost implements dispatch.Quarantine. A broken connection alone does not show that
 // the server has ended: it is reported if the server refuses new connections too.
-func (q *contentGuard) Lost(server *registry.Server, p *dispatch.Prompt) {
+func (q *contentGuard) Lost(server *registry.Server, p *dispatch.Prompt, flowed time.Duration) {
 	var suspects []quarantine.Suspect
 	for depth, part := range p.SharedParts() {
-		suspects = append(suspects, quarantine.Suspect{Part: partKey(part.ID), Depth: depth})
+		suspects = append(suspects, quarantine.Suspect{Part: partKey(part.ID), Depth: depth, Flowing: flowed >= flowingAfter})
 	}
 	if len(suspects) == 0 || server.Draining {
 		return
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -19,6 +19,9 @@
 	// servedFactor multiplies the number of crashes that are needed against a part
 	// that was served shortly before them.
 	servedFactor = 3
+	// flowingWeight is the weight of a crash if the answers to all requests with a part
+	// were under way.
+	flowingWeight = 0.25
 	// maxCrashes and maxSuspects bound the memory of the detector.
 	maxCrashes  = 512
 	maxSuspects = 512
@@ -29,6 +32,9 @@
 	Part string `cbor:"1,keyasint"`
 	// Depth is the index of the part in its prompt.
 	Depth int `cbor:"2,keyasint"`
+	// Flowing is set if the answer to the request was well under way. It is then less
+	// likely that the request ended the server.
+	Flowing bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Crash is the end of a server that had requests.
@@ -55,12 +61,26 @@
 type crash struct {
 	server string
 	at     time.Time
-	// depth holds the depth of each suspect.
-	depth map[string]int
+	parts  map[string]suspicion
 	// explained is set once a quarantined part explains the crash.
 	explained bool
 }
 
+// suspicion sums up the requests with a part that a server had when it ended. flowing
+// is set if the answers to all of them were under way.
+type suspicion struct {
+	depth   int
+	flowing bool
+}
+
+// weight returns how much a crash counts against the part.
+func (s suspicion) weight() float64 {
+	if s.flowing {
+		return flowingWeight
+	}
+	return 1
+}
+
 // NewDetector returns a detector that needs a number of crashes to accuse a part.
 func NewDetector(crashes int) *Detector {
 	return &Detector{crashes: crashes, served: map[string]time.Time{}, relapsed: map[string]bool{}}
@@ -73,13 +93,18 @@
 		if len(d.log) == maxCrashes {
 			d.log = slices.Delete(d.log, 0, 1)
 		}
-		d.log = append(d.log, crash{server: c.Server, at: when, depth: map[string]int{}})
+		d.log = append(d.log, crash{server: c.Server, at: when, parts: map[string]suspicion{}})
 		slices.SortStableFunc(d.log, func(a, b crash) int { return a.at.Compare(b.at) })
 		at = slices.IndexFunc(d.log, func(known crash) bool { return known.server == c.Server })
 	}
+	parts := d.log[at].parts
 	for _, s := range c.Suspects {
-		if len(d.log[at].depth) < maxSuspects {
-			d.log[at].depth[s.Part] = max(d.log[at].depth[s.Part], s.Depth)
+		known, ok := parts[s.Part]
+		switch {
+		case ok:
+			parts[s.Part] = suspicion{max(known.depth, s.Depth), known.flowing && s.Flowing}
+		case len(parts) < maxSuspects:
+			parts[s.Part] = suspicion{s.Depth, s.Flowing}
 		}
 	}
 }
@@ -88,14 +113,14 @@
 func (d *Detector) expire(now time.Time) {
 	d.log = slices.DeleteFunc(d.log, func(c crash) bool { return now.Sub(c.at) > crashMemory })
 	maps.DeleteFunc(d.served, func(part string, _ time.Time) bool {
-		return !slices.ContainsFunc(d.log, func(c crash) bool { _, ok := c.depth[part]; return ok })
+		return !slices.ContainsFunc(d.log, func(c crash) bool { _, ok := c.parts[part]; return ok })
 	})
 }
 
 // Served records that a server answered a request with a part completely. A part
 // that no crash names is ignored.
 func (d *Detector) Served(part string, at time.Time) {
-	suspected := slices.ContainsFunc(d.log, func(c crash) bool { _, ok := c.depth[part]; return ok })
+	suspected := slices.ContainsFunc(d.log, func(c crash) bool { _, ok := c.parts[part]; return ok })
 	if suspected && at.After(d.served[part]) {
 		d.served[part] = at
 	}
@@ -108,7 +133,7 @@
 // accuse no other part.
 func (d *Detector) Explained(part string) {
 	for i := range d.log {
-		if _, ok := d.log[i].depth[part]; ok {
+		if _, ok := d.log[i].parts[part]; ok {
 			d.log[i].explained = true
 		}
 	}
@@ -158,7 +183,8 @@
 
 // evidence sums up the crashes after a part was last served.
 type evidence struct {
-	count int
+	// count is the number of crashes; those with flowing answers count as a part of one.
+	count float64
 	last  time.Time
 	depth int
 }
@@ -169,11 +195,11 @@
 		if c.explained {
 			continue
 		}
-		for part, depth := range c.depth {
+		for part, s := range c.parts {
 			e := out[part]
-			e.depth = max(e.depth, depth)
+			e.depth = max(e.depth, s.depth)
 			if c.at.After(d.served[part]) && (e.count == 0 || c.at.Sub(e.last) >= sameMoment) {
-				e.count++
+				e.count += s.weight()
 				e.last = c.at
 			}
 			out[part] = e
@@ -193,5 +219,5 @@
 	case !d.served[part].IsZero():
 		need *= servedFactor
 	}
-	return e.count >= need
+	return e.count >= float64(need)
 }
