quarantine: collectors that decide together log and spread a quarantine once

Both collectors decide within milliseconds, and the later end replaced the earlier one: daemons logged part_quarantined two or three times (18 lines on 6 daemons). An entry must now extend the end by 5 s.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -15,6 +15,9 @@
 	maxEntries = 1024
 	// maxUntil bounds the end of a quarantine from now.
 	maxUntil = 24 * time.Hour
+	// minExtension is the least time by which a later entry extends a quarantine. Two
+	// daemons that decide at the same time end it at slightly different times.
+	minExtension = 5 * time.Second
 )
 
 // Entry is the quarantine of one part, as it is stored.
@@ -57,7 +60,7 @@
 		e.UntilMs = latest
 	}
 	old, known := l.entry(part)
-	if known && old.UntilMs >= e.UntilMs || !known && l.Len() >= maxEntries {
+	if known && e.UntilMs < old.UntilMs+minExtension.Milliseconds() || !known && l.Len() >= maxEntries {
 		return l, false
 	}
 	next := &List{entries: map[string]Entry{}}
