platform, edge: log the limits that servers name in their answers

Nothing read the header Server-Limit, so logs could not tell which daemon knew a limit. Placement does not use it yet.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -70,6 +70,7 @@
 	dispatcher *dispatch.Dispatcher
 	node       *peer.Node
 	outboxes   *peer.Outboxes
+	limits     *serverLimits
 	counter    *metering.Counter
 	clock      *metering.Clock
 	budget     *retryBudget
@@ -106,6 +107,8 @@
 		d.control.emit(controlTask{run: func(now time.Time) { d.control.quarantine.report(now, m) }})
 	}
 	d.control.duties = d.newDuties(incarnation)
+	d.limits = newServerLimits(cfg.Events)
+	d.limits.pass = func(*registry.Server, float64, bool) {}
 	d.plain = newPlainScheduler(s.FailureDomain)
 	d.plain.servers = func(service string) []*registry.Server { return d.control.servers.Load().ofService(service) }
 	d.plain.serversFields = d.control.serversReplica.fields
