pool, edge: keep the limits that backend servers name

Servers in need name in their answers how many requests a second they take from all daemons together, and got as many as before: 19 in 4 s where 16 were allowed, and 14 where 12 were. Cause: nothing read the limit; placement went by tokens and waits only. Ruled out: daemons that keep it each by itself, and paths beside the scheduler, as no path knew it.

The daemon that hears a limit tells the scheduler of the engine's pool, which counts it for all; daemons beside it exclude the engine from their own placement meanwhile. A new or restarted scheduler is told at once. The limit of a plain server, which each daemon chooses by itself, is shared by as many daemons as it allows requests a second; the others are told and exclude it. A request that no server takes before its deadline is refused at once, with the time until one does.

--- a/edge/control.go
+++ b/edge/control.go
@@ -73,7 +73,14 @@
 	duties           *duties
 	fleet            *fleetControl
 	quarantine       *quarantineControl
-	clock            *metering.Clock
+	// limitPlain applies the limit of a plain server.
+	limitPlain func(server string, limit float64, limited bool)
+	// plainTold holds the limits of plain servers that other daemons were told.
+	plainTold map[string]namedLimit
+	// schedulersChanged is called when pools have got another scheduler or a scheduler
+	// was restarted.
+	schedulersChanged func(now time.Time)
+	clock             *metering.Clock
 	// pools holds the pools of the services in force.
 	pools *poolTable
 	// roleChanges holds the engines that change their role, by server ID.
@@ -122,7 +129,11 @@
 		pools:       newPoolTable(),
 		roleChanges: map[string]roleChange{},
 		leaving:     map[string]string{},
-		peerEnds:    map[string]*[feedCount]int64{},
+		plainTold:   map[string]namedLimit{},
+		limitPlain:  func(string, float64, bool) {},
+
+		schedulersChanged: func(time.Time) {},
+		peerEnds:          map[string]*[feedCount]int64{},
 	}
 	c.serversReplica.end.Store(hosting.NoOffset)
 	empty := member.NewSet(nil)
@@ -306,6 +317,12 @@
 		c.quarantine.partsServed(now, ev.from, m)
 	case *Quarantined:
 		c.quarantine.add(m.Part, m.Entry)
+	case *ServerLimit:
+		if m.Pool == "" {
+			c.limitPlain(m.Server, m.Limit, m.Limited)
+		} else {
+			c.host.Step(now, m.Pool, pool.RunnerLimited{Runner: m.Server, Limit: m.Limit, Limited: m.Limited})
+		}
 	case *schedule.GrantRequest:
 		m.Request.Entry = ev.from
 		c.host.Request(now, m)
@@ -354,7 +371,24 @@
 			shards:    spec.Shards,
 		})
 	}
+	changed := schedulersDiffer(c.view.Load(), next)
 	c.view.Store(next)
+	if changed {
+		c.schedulersChanged(now)
+	}
+}
+
+// schedulersDiffer reports whether a pool of next had another scheduler in old.
+func schedulersDiffer(old, next *view) bool {
+	for service, routes := range next.pools {
+		for i, route := range routes {
+			before := old.pools[service]
+			if i < len(before) && before[i].scheduler != route.scheduler {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // quarantineLoadWait is the time after the start from which on requests no longer
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -108,8 +108,18 @@
 	}
 	d.control.duties = d.newDuties(incarnation)
 	d.limits = newServerLimits(cfg.Events)
-	d.limits.pass = func(*registry.Server, float64, bool) {}
 	d.plain = newPlainScheduler(s.FailureDomain)
+	d.limits.pass = func(server *registry.Server, limit float64, limited bool) {
+		d.plain.setLimit(server.ID, limit, limited)
+		d.control.emit(controlTask{run: func(now time.Time) { d.control.limitNamed(now, server, limit, limited) }})
+	}
+	d.plain.share = d.control.plainShare
+	d.control.limitPlain = d.plain.setLimit
+	d.control.schedulersChanged = func(now time.Time) {
+		for _, n := range d.limits.recent(now) {
+			d.control.limitNamed(now, n.server, n.limit, true)
+		}
+	}
 	d.plain.servers = func(service string) []*registry.Server { return d.control.servers.Load().ofService(service) }
 	d.plain.serversFields = d.control.serversReplica.fields
 	d.budget = newRetryBudget(s.Retry, d.retryShares)
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -163,6 +163,7 @@
 		for _, vm := range c.memberTable.apply(records, c.events) {
 			c.forgetPeerEnds(vm)
 			c.disconnect(vm)
+			c.schedulersChanged(now)
 		}
 		c.updateMemberList(now)
 	case feedQuarantine:
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -1,14 +1,22 @@
 package edge
 
 import (
+	"context"
+	"errors"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/mimosakeel/mimosakeel/catalog"
+	"github.com/mimosakeel/mimosakeel/dispatch"
 	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/hlc"
+	"github.com/mimosakeel/mimosakeel/pool"
+	"github.com/mimosakeel/mimosakeel/registry"
+	"github.com/mimosakeel/mimosakeel/schedule"
 )
 
 // Guards against limits that are passed on with every answer, and against changes
@@ -17,14 +25,99 @@
 	g := NewWithT(t)
 	l := newServerLimits(event.NewRecorder(hlc.New(time.Now), "vm", nil, zerolog.Nop()))
 	now := time.Now()
-	g.Expect(l.update(now, "a", 0, false)).To(BeFalse())
-	g.Expect(l.update(now, "a", 2, true)).To(BeTrue())
-	g.Expect(l.update(now, "a", 2, true)).To(BeFalse())
-	g.Expect(l.update(now, "a", 1, true)).To(BeTrue())
-	g.Expect(l.update(now.Add(limitRefresh), "a", 1, true)).To(BeTrue())
-	g.Expect(l.update(now.Add(limitRefresh), "a", 0, false)).To(BeTrue())
-	g.Expect(l.update(now.Add(limitRefresh), "a", 0, false)).To(BeFalse())
-	g.Expect(l.update(now, "gone", 1, true)).To(BeTrue())
-	g.Expect(l.update(now.Add(2*limitForget), "b", 1, true)).To(BeTrue())
-	g.Expect(l.named).To(HaveLen(1))
+	a, b := &registry.Server{ID: "a"}, &registry.Server{ID: "b"}
+	g.Expect(l.update(now, a, 0, false)).To(BeFalse())
+	g.Expect(l.update(now, a, 2, true)).To(BeTrue())
+	g.Expect(l.update(now, a, 2, true)).To(BeFalse())
+	g.Expect(l.update(now, a, 1, true)).To(BeTrue())
+	g.Expect(l.update(now.Add(limitRefresh), a, 1, true)).To(BeTrue())
+	g.Expect(l.update(now.Add(limitRefresh), a, 0, false)).To(BeTrue())
+	g.Expect(l.update(now.Add(limitRefresh), a, 0, false)).To(BeFalse())
+	g.Expect(l.update(now, a, 1, true)).To(BeTrue())
+	g.Expect(l.update(now.Add(2*limitForget), b, 3, true)).To(BeTrue())
+	recent := l.recent(now.Add(2 * limitForget))
+	g.Expect(recent).To(HaveLen(1))
+	g.Expect(recent[0].server).To(Equal(b))
+}
+
+// Guards against a plain server's limit that each daemon uses in full, against shares
+// so small that nobody may send, and against requests that wait for the limit although
+// it is known that they can't be served.
+func TestDaemonsShareThePlainServersLimit(t *testing.T) {
+	g := NewWithT(t)
+	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2", "vm-3", "vm-4")
+	total, users := 0.0, 0
+	for _, c := range n.daemons {
+		share := c.plainShare("i-0", 2.5)
+		total += share
+		if share > 0 {
+			users++
+		}
+		p := newPlainScheduler("fd")
+		p.share = c.plainShare
+		p.servers = func(string) []*registry.Server { return []*registry.Server{{ID: "i-0"}} }
+		request := dispatch.PlacementRequest{Request: &dispatch.Request{Service: &catalog.Service{Name: "desk"}}}
+		_, err := p.Place(context.Background(), request)
+		g.Expect(err).NotTo(HaveOccurred())
+		p.setLimit("i-0", 2.5, true)
+		_, err = p.Place(context.Background(), request)
+		var refused *dispatch.Failure
+		g.Expect(errors.As(err, &refused)).To(BeTrue())
+		g.Expect(refused.Reason).To(Equal("server_limits"))
+		g.Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+		p.setLimit("i-0", 0, false)
+		_, err = p.Place(context.Background(), request)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(users).To(Equal(2))
+	g.Expect(total).To(BeNumerically("~", 2.5, 1e-9))
+}
+
+// Guards against a scheduler that does not learn a limit from the daemon that heard it,
+// and against daemons beside it that place requests on the server by themselves.
+func TestSchedulerLearnsTheLimitOfAnEngine(t *testing.T) {
+	g := NewWithT(t)
+	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2")
+	now := time.Now()
+	scheduler := n.daemons["vm-0"].scheduler(n.poolOf("i-1"))
+	var reporter *scaleControl
+	for vm, c := range n.daemons {
+		if vm != scheduler {
+			reporter = c
+		}
+	}
+	reporter.limitNamed(now, &registry.Server{ID: "i-1", Service: "llm", Role: "mixed"}, 2, true)
+	n.deliver(now)
+	g.Expect(n.grantsOn(scheduler, "i-1", now.Add(600*time.Millisecond), 6)).To(Equal(1))
+	g.Expect(n.grantsOn(reporter.vm, "i-1", now.Add(600*time.Millisecond), 6)).To(BeZero())
+}
+
+// poolOf returns the name of the pool with a runner.
+func (n *controlNetwork) poolOf(runner string) string {
+	for _, spec := range n.daemons["vm-0"].pools.specs {
+		if slices.ContainsFunc(spec.Runners, func(r pool.RunnerInfo) bool { return r.ID == runner }) {
+			return spec.Key.String()
+		}
+	}
+	return ""
+}
+
+// grantsOn requests grants from the pool of a daemon and returns how many of them name
+// a runner.
+func (n *controlNetwork) grantsOn(vm, runner string, now time.Time, requests int) int {
+	c := n.daemons[vm]
+	n.queue = nil
+	for i := range requests {
+		c.host.Request(now, &schedule.GrantRequest{Pool: n.poolOf(runner), Request: pool.Request{
+			ID: formatInt(int64(i)), Entry: "client", Customer: "c", PromptTokens: 100, MaxTokens: 5,
+		}})
+	}
+	granted := 0
+	for _, m := range n.queue {
+		if r, ok := m.message.(*schedule.GrantReply); ok && r.Kind == schedule.ReplyGranted && r.Granted.Runner == runner {
+			granted++
+		}
+	}
+	n.queue = nil
+	return granted
 }
--- a/edge/message.go
+++ b/edge/message.go
@@ -23,6 +23,7 @@
 	kindServedInquiry peer.Kind = 38
 	kindPartsServed   peer.Kind = 39
 	kindQuarantined   peer.Kind = 40
+	kindServerLimit   peer.Kind = 41
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -107,6 +108,19 @@
 // MessageKind implements peer.Message.
 func (*Quarantined) MessageKind() peer.Kind { return kindQuarantined }
 
+// ServerLimit tells the scheduler of a pool how many requests a server takes.
+type ServerLimit struct {
+	Pool   string `cbor:"1,keyasint"`
+	Server string `cbor:"2,keyasint"`
+	// Limit is the number of requests per second from all daemons together.
+	Limit float64 `cbor:"3,keyasint"`
+	// Limited is false if the server no longer names a limit.
+	Limited bool `cbor:"4,keyasint,omitempty"`
+}
+
+// MessageKind implements peer.Message.
+func (*ServerLimit) MessageKind() peer.Kind { return kindServerLimit }
+
 // Pull asks a peer for the records that the sender lacks.
 type Pull struct {
 	// Ends holds for each feed the offset from which on the sender lacks records.
@@ -146,6 +160,8 @@
 		return &ServedInquiry{}
 	case kindPartsServed:
 		return &PartsServed{}
+	case kindServerLimit:
+		return &ServerLimit{}
 	case kindQuarantined:
 		return &Quarantined{}
 	}
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/dispatch"
 	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/limit"
 	"github.com/mimosakeel/mimosakeel/registry"
 )
 
@@ -30,6 +32,8 @@
 	servers func(service string) []*registry.Server
 	// serversFields returns the version and age of the list of servers, for logs.
 	serversFields func() []event.Field
+	// share returns the part of a server's limit that this daemon may use.
+	share func(server string, limit float64) float64
 
 	mu    sync.Mutex
 	state map[string]*plainState
@@ -40,10 +44,15 @@
 	// faultWeight is the decayed number of faults at faultTime.
 	faultWeight float64
 	faultTime   time.Time
+	// limit is this daemon's part of the limit that the server has named.
+	limit limit.Server
 }
 
 func newPlainScheduler(domain string) *plainScheduler {
-	return &plainScheduler{domain: domain, state: map[string]*plainState{}, serversFields: func() []event.Field { return nil }}
+	return &plainScheduler{
+		domain: domain, state: map[string]*plainState{}, serversFields: func() []event.Field { return nil },
+		share: func(_ string, limit float64) float64 { return limit },
+	}
 }
 
 func (s *plainState) faults(now time.Time) float64 {
@@ -57,21 +66,32 @@
 	now := time.Now()
 	var best *registry.Server
 	lowest := 0.0
+	limitWait := time.Duration(0)
 	for _, server := range p.servers(r.Request.Service.Name) {
 		if server.Draining || slices.Contains(r.Avoid, server.ID) {
 			continue
 		}
+		if wait := p.stateOf(server.ID).limit.Wait(now); wait > 0 {
+			if limitWait == 0 || wait < limitWait {
+				limitWait = wait
+			}
+			continue
+		}
 		cost := p.cost(now, server) + tieBreak*rand.Float64()
 		if best == nil || cost < lowest {
 			best, lowest = server, cost
 		}
 	}
+	if best == nil && limitWait > 0 {
+		return nil, &dispatch.Failure{Run: backend.RunNever, Reason: "server_limits", RetryAfter: limitWait, Inputs: p.serversFields()}
+	}
 	if best == nil {
 		return nil, noServer(p.serversFields()...)
 	}
 	inputs := append(p.serversFields(), event.F("open", formatInt(int64(p.stateOf(best.ID).open))),
 		event.F("faults", formatRatio(p.stateOf(best.ID).faults(now))))
 	p.stateOf(best.ID).open++
+	p.stateOf(best.ID).limit.Take(now)
 	return &dispatch.Placement{Server: best, Inputs: inputs}, nil
 }
 
@@ -97,6 +117,24 @@
 	return s
 }
 
+// setLimit sets or lifts the limit that a server has named for all daemons together.
+func (p *plainScheduler) setLimit(server string, limit float64, limited bool) {
+	share := p.share(server, limit)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	state := p.stateOf(server)
+	switch {
+	case !limited:
+		state.limit.Lift()
+	case share == 0 && limit > 0:
+		state.limit.Exclude(now)
+	default:
+		state.limit.Set(now, share)
+	}
+	state.faultWeight, state.faultTime = state.faults(now), now
+}
+
 // Prefilled implements dispatch.Scheduler.
 func (p *plainScheduler) Prefilled(*dispatch.Placement) {}
 
@@ -122,7 +160,7 @@
 // ended long ago, so that servers that are gone don't accumulate.
 func (p *plainScheduler) dropIdle(now time.Time) {
 	for id, s := range p.state {
-		if s.open <= 0 && now.Sub(s.faultTime) > 10*faultHalfLife {
+		if s.open <= 0 && s.limit.Wait(now) == 0 && now.Sub(s.faultTime) > 10*faultHalfLife {
 			delete(p.state, id)
 		}
 	}
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -18,8 +18,10 @@
 	"github.com/mimosakeel/mimosakeel/dispatch"
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/peer"
+	"github.com/mimosakeel/mimosakeel/pool"
 	"github.com/mimosakeel/mimosakeel/quarantine"
 	"github.com/mimosakeel/mimosakeel/registry"
+	"github.com/mimosakeel/mimosakeel/schedule"
 )
 
 func promptOf(parts ...string) *dispatch.Prompt {
@@ -100,9 +102,9 @@
 	g.Expect(left).To(BeZero(), "the last part belongs to one request only")
 }
 
-// crashNetwork connects the control states of several daemons. Messages arrive in
+// controlNetwork connects the control states of several daemons. Messages arrive in
 // order once deliver is called.
-type crashNetwork struct {
+type controlNetwork struct {
 	daemons map[string]*scaleControl
 	queue   []sentFrom
 	stored  []hosting.KeyedRecord
@@ -113,18 +115,20 @@
 	message  peer.Message
 }
 
-func newCrashNetwork(t *testing.T, vms ...string) *crashNetwork {
-	n := &crashNetwork{daemons: map[string]*scaleControl{}}
+func newControlNetwork(t *testing.T, vms ...string) *controlNetwork {
+	n := &controlNetwork{daemons: map[string]*scaleControl{}}
 	for _, vm := range vms {
 		c := newScaleControlOf(t, vm, len(vms), 4, 1)
 		c.send = func(to string, m peer.Message) { n.queue = append(n.queue, sentFrom{vm, to, m}) }
+		c.host, c.pools = schedule.NewHost(pool.DefaultConfig(), c.send), newPoolTable()
+		c.publish(time.Now())
 		c.quarantine.put = func(r hosting.KeyedRecord) { n.stored = append(n.stored, r) }
 		n.daemons[vm] = c
 	}
 	return n
 }
 
-func (n *crashNetwork) deliver(now time.Time) {
+func (n *controlNetwork) deliver(now time.Time) {
 	for len(n.queue) > 0 {
 		m := n.queue[0]
 		n.queue = n.queue[1:]
@@ -134,7 +138,7 @@
 	}
 }
 
-func (n *crashNetwork) left(vm, part string) time.Duration {
+func (n *controlNetwork) left(vm, part string) time.Duration {
 	left, _ := n.daemons[vm].quarantine.guard.Left(promptOf(part))
 	return left
 }
@@ -143,7 +147,7 @@
 // against one of a part that only another daemon has served.
 func TestAllDaemonsQuarantineThePartThatCrashesServers(t *testing.T) {
 	g := NewWithT(t)
-	n := newCrashNetwork(t, "vm-0", "vm-1", "vm-2")
+	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2")
 	now := time.Now()
 	n.daemons["vm-2"].quarantine.guard.Served(promptOf("first", "deep"))
 	for i := range DefaultSettings().Quarantine.Crashes {
@@ -164,7 +168,7 @@
 // Guards against a decision that waits for ever for a daemon that does not answer.
 func TestSilentDaemonDelaysNoQuarantine(t *testing.T) {
 	g := NewWithT(t)
-	n := newCrashNetwork(t, "vm-0", "vm-1", "vm-2")
+	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2")
 	silent := n.daemons["vm-0"].quarantine.collectors()[0]
 	for vm := range n.daemons {
 		if vm != silent {
@@ -192,7 +196,7 @@
 // unreadable records that end others, and records that stay for ever.
 func TestQuarantinesOfTheStoreAreInForce(t *testing.T) {
 	g := NewWithT(t)
-	n := newCrashNetwork(t, "vm-0")
+	n := newControlNetwork(t, "vm-0")
 	c := n.daemons["vm-0"]
 	entry := quarantine.Entry{UntilMs: time.Now().Add(time.Minute).UnixMilli(), FoundBy: "vm-9"}
 	old := quarantine.Entry{UntilMs: time.Now().Add(-48 * time.Hour).UnixMilli()}
@@ -210,7 +214,7 @@
 // reports were restarted one after the other.
 func TestNewCollectorsLearnEarlierCrashes(t *testing.T) {
 	g := NewWithT(t)
-	n := newCrashNetwork(t, "vm-0", "vm-1", "vm-2", "vm-3")
+	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2", "vm-3")
 	reporter := ""
 	collectors := n.daemons["vm-0"].quarantine.collectors()
 	for vm := range n.daemons {
--- a/event/explain.go
+++ b/event/explain.go
@@ -174,6 +174,7 @@
 	"body_not_read":   "the body was larger than the limit, incomplete, or badly framed",
 	"no_request_id":   "the request carried no id",
 	"no_server":       "the process knew no usable server of the service, or all of them had failed the request",
+	"server_limits":   "all servers that were left had named a limit on requests, and had got as many",
 	"server_left":     "the server left after it was chosen and before the request was sent",
 	"quarantined":     "a part of the prompt has crashed several servers, and requests with it are not sent for a time",
 	"retry_budget":    "the last attempt failed and the retry budget was used up",
--- a/pool/event.go
+++ b/pool/event.go
@@ -140,6 +140,18 @@
 // It gets no grants until it reports again or Config.DownFor has passed.
 type RunnerDown struct{ Runner string }
 
+// RunnerLimited reports how many requests a runner takes.
+type RunnerLimited struct {
+	Runner string
+	// Limit is the number of requests per second. It holds for some seconds unless it
+	// is reported again.
+	Limit float64
+	// Limited is false if the runner has no limit any longer.
+	Limited bool
+	// Excluded is set if another scheduler places the requests that the runner takes.
+	Excluded bool
+}
+
 // LoadReported carries a runner's load report.
 type LoadReported struct{ Load backend.Load }
 
@@ -168,6 +180,7 @@
 func (Released) isEvent()       {}
 func (RunnersListed) isEvent()  {}
 func (RunnerDown) isEvent()     {}
+func (RunnerLimited) isEvent()  {}
 func (LoadReported) isEvent()   {}
 func (CacheReported) isEvent()  {}
 func (EntryGone) isEvent()      {}
--- a/pool/place.go
+++ b/pool/place.go
@@ -131,7 +131,7 @@
 		margin := errorMarginFactor * p.runners[c.Slot].predictor.firstToken.meanAbsError
 		setMin(&f.firstToken, c.FirstToken(w.prompt)+margin)
 		setMin(&f.idleFirstToken, c.FixedTime+c.PrefillPerToken*float64(max(w.prompt-c.Cached, 0)))
-		setMin(&f.wait, max(c.Wait-v.PrefillWait, 0))
+		setMin(&f.wait, max(c.Wait-v.PrefillWait, c.LimitWait, 0))
 		f.hasRoomNow = f.hasRoomNow || p.cfg.Policy.passes(v, c, false)
 	}
 	return f
@@ -301,6 +301,10 @@
 	t.kv = w.kv
 	t.chargedCost = w.cost
 	t.backlogAtGrant = t.prefillRunner.prefillBacklog(now) + float64(t.prefill)
+	t.runner.limit.Take(now)
+	if t.prefillRunner != t.runner {
+		t.prefillRunner.limit.Take(now)
+	}
 	p.openTicket(now, t)
 	p.storeBlocks(t.prefillRunner, w.request.Blocks)
 	t.blocks = w.request.Blocks
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -60,6 +60,9 @@
 	// PrefillPerToken the predicted prefill time per token and FixedTime the
 	// predicted time per request, all in seconds.
 	Wait, PrefillPerToken, FixedTime float64
+	// LimitWait is the time in seconds until the runner's limit on requests allows
+	// another one.
+	LimitWait float64
 	// BetweenTokens is the predicted time between tokens in seconds with one more
 	// stream.
 	BetweenTokens float64
@@ -75,7 +78,7 @@
 
 // FirstToken predicts the time to first token in seconds.
 func (c *Candidate) FirstToken(prompt int) float64 {
-	return c.Wait + c.FixedTime + c.PrefillPerToken*float64(max(prompt-c.Cached, 0))
+	return max(c.Wait, c.LimitWait) + c.FixedTime + c.PrefillPerToken*float64(max(prompt-c.Cached, 0))
 }
 
 // Filter drops candidates. The result of a static filter doesn't depend on the
@@ -109,7 +112,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Name:    "own",
-		Filters: []Filter{FilterUp{}, FilterRole{}, FilterAdapter{}, FilterAvoid{}, FilterMemory{}, FilterBounds{}},
+		Filters: []Filter{FilterUp{}, FilterRole{}, FilterAdapter{}, FilterAvoid{}, FilterMemory{}, FilterLimit{}, FilterBounds{}},
 		Scorers: []Scorer{ScoreWait{}, ScorePrefix{}, ScoreStreams{}, ScoreClass{}, ScoreDomain{}, ScoreInterference{}},
 		Picker:  PickLowest{},
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -89,6 +89,10 @@
 			r.down, r.downAt = true, now
 			p.prefixes.removeRunner(r.slot)
 		}
+	case RunnerLimited:
+		if r := p.runnerByID(ev.Runner); r != nil {
+			r.setLimit(now, &ev)
+		}
 	case LoadReported:
 		p.reportLoad(now, &ev.Load)
 	case CacheReported:
--- a/pool/runner.go
+++ b/pool/runner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mimosakeel/mimosakeel/backend"
+	"github.com/mimosakeel/mimosakeel/limit"
 )
 
 // runner is the state of one runner of the pool.
@@ -32,7 +33,9 @@
 	// lastHeard is the time at which the runner was last known to be alive.
 	lastHeard time.Time
 	predictor latencyPredictor
-	load      loadState
+	// limit is the limit on requests that the runner has named.
+	limit limit.Server
+	load  loadState
 	// nextEvent is the number of the next cache event to apply.
 	nextEvent uint64
 }
@@ -73,6 +76,7 @@
 	}
 	c.Prefill, c.Decode, c.KV, c.Open = r.prefill, r.decode, r.kv, r.open
 	c.Wait = first.b * r.prefillBacklog(now)
+	c.LimitWait = r.limit.Wait(now).Seconds()
 	c.FixedTime = first.a
 	c.PrefillPerToken = first.b
 	c.Streams = r.streams
@@ -89,3 +93,15 @@
 		c.Wait += min(first.b*r.load.decayedSurplus(now), bound)
 	}
 }
+
+// setLimit applies a runner's limit on requests.
+func (r *runner) setLimit(now time.Time, ev *RunnerLimited) {
+	switch {
+	case !ev.Limited:
+		r.limit.Lift()
+	case ev.Excluded:
+		r.limit.Exclude(now)
+	default:
+		r.limit.Set(now, ev.Limit)
+	}
+}
