dispatch: a stream that ends without an event counts as a lost connection

An answer without length and chunks ends with its connection. An engine that crashes before the first event of one looks like an empty stream, which was not checked for a crash, so that the part that causes it would not be found.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -371,7 +371,7 @@
 // finishStream completes a stream. A stream without events is a failure.
 func (c *call) finishStream(place *Placement, status int) *AttemptError {
 	if !c.started {
-		return &AttemptError{Run: backend.RunUnknown, Reason: "empty_stream", Sent: true}
+		return &AttemptError{Run: backend.RunUnknown, Reason: "empty_stream", Sent: true, Lost: true}
 	}
 	if err := c.answer.Finish(); err != nil {
 		return clientWriteError(err)
--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -57,11 +57,11 @@
 		run  any
 		lost []string
 	}{
-		"before the answer":    {lost, []string{"a"}},
-		"in the answer":        {&fakeReply{status: 200, events: events("1"), err: broken}, []string{"a"}},
-		"rejected":             {rejected(), nil},
-		"not sent":             {unsent(), nil},
-		"ends without content": {&fakeReply{status: 200}, nil},
+		"before the answer": {lost, []string{"a"}},
+		"in the answer":     {&fakeReply{status: 200, events: events("1"), err: broken}, []string{"a"}},
+		"rejected":          {rejected(), nil},
+		"not sent":          {unsent(), nil},
+		"without an event":  {&fakeReply{status: 200}, []string{"a"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -174,7 +174,8 @@
 	Server *registry.Server
 	// Down is set if the attempt shows that the server takes no requests at all.
 	Down bool
-	// Lost is set if the connection broke after the request was written.
+	// Lost is set if the connection ended after the request was written, without a
+	// complete answer.
 	Lost bool
 	// RetryAfter is the time after which a new attempt may succeed; 0 if unknown.
 	RetryAfter time.Duration
