edge: report crashes outside the lock, and keep plain limits while their server is idle

A plain server's state was dropped after 10 s without requests even while its limit held. A full inbox of the control goroutine would have blocked requests that lose their server.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -121,6 +121,7 @@
 	if known && told.limit == limit && limited && now.Sub(told.passed) < plainLimitRefresh {
 		return
 	}
+	maps.DeleteFunc(c.plainTold, func(_ string, n namedLimit) bool { return now.Sub(n.passed) > limitForget })
 	c.plainTold[server.ID] = namedLimit{limit: limit, passed: now}
 	if !limited {
 		delete(c.plainTold, server.ID)
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -132,7 +132,6 @@
 	default:
 		state.limit.Set(now, share)
 	}
-	state.faultWeight, state.faultTime = state.faults(now), now
 }
 
 // Prefilled implements dispatch.Scheduler.
@@ -156,11 +155,11 @@
 	p.dropIdle(now)
 }
 
-// dropIdle removes the state of servers without open requests whose last request
-// ended long ago, so that servers that are gone don't accumulate.
+// dropIdle removes the state of servers without a limit and open requests whose last
+// request ended long ago, so that servers that are gone don't accumulate.
 func (p *plainScheduler) dropIdle(now time.Time) {
 	for id, s := range p.state {
-		if s.open <= 0 && s.limit.Wait(now) == 0 && now.Sub(s.faultTime) > 10*faultHalfLife {
+		if s.open <= 0 && !s.limit.Active(now) && now.Sub(s.faultTime) > 10*faultHalfLife {
 			delete(p.state, id)
 		}
 	}
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -118,18 +118,27 @@
 		return
 	}
 	run := server.ID + "/" + formatInt(server.StartedMs)
+	if q.lost(server.Addr, run, suspects) {
+		q.report(&CrashReport{Server: run, Suspects: suspects})
+	}
+}
+
+// lost starts the check of a server, or adds suspects to one in progress. It reports
+// whether the server is known to have ended.
+func (q *contentGuard) lost(addr, run string, suspects []quarantine.Suspect) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	check := q.checks[run]
 	switch {
 	case check == nil:
 		q.checks[run] = &crashCheck{suspects: suspects}
-		go q.check(server.Addr, run)
+		go q.check(addr, run)
+		return false
 	case !check.done:
 		check.suspects = append(check.suspects, suspects...)
-	case check.crashed:
-		q.report(&CrashReport{Server: run, Suspects: suspects})
+		return false
 	}
+	return check.crashed
 }
 
 // check reports the requests of a server that refuses connections.
@@ -140,13 +149,13 @@
 		_ = conn.Close() // Nothing was sent.
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	c := q.checks[run]
-	c.done, c.crashed = true, errors.Is(err, syscall.ECONNREFUSED)
+	suspects := c.suspects
+	c.done, c.crashed, c.suspects = true, errors.Is(err, syscall.ECONNREFUSED), nil
+	q.mu.Unlock()
 	if c.crashed {
-		q.report(&CrashReport{Server: run, Suspects: c.suspects})
+		q.report(&CrashReport{Server: run, Suspects: suspects})
 	}
-	c.suspects = nil
 	time.AfterFunc(crashCheckMemory, func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -220,6 +229,9 @@
 			continue
 		}
 		for _, s := range q.sent {
+			if now.Sub(s.at) > quarantine.CrashMemory {
+				continue
+			}
 			q.send(vm, &CrashReport{Server: s.report.Server, Suspects: s.report.Suspects, Age: now.Sub(s.at)})
 		}
 	}
--- a/limit/server.go
+++ b/limit/server.go
@@ -24,7 +24,7 @@
 
 // Set sets the limit. A new limit begins without credit for past time.
 func (s *Server) Set(now time.Time, rate float64) {
-	if !s.limited(now) {
+	if !s.Active(now) {
 		s.bucket = bucket{at: now}
 	}
 	s.fill(now)
@@ -43,7 +43,7 @@
 // Wait returns the time until the next request is allowed.
 func (s *Server) Wait(now time.Time) time.Duration {
 	switch {
-	case !s.limited(now):
+	case !s.Active(now):
 		return 0
 	case s.rate == 0:
 		return s.until.Sub(now)
@@ -54,12 +54,13 @@
 
 // Take counts a request.
 func (s *Server) Take(now time.Time) {
-	if s.limited(now) {
+	if s.Active(now) {
 		s.fill(now)
 		s.bucket.level--
 	}
 }
 
-func (s *Server) limited(now time.Time) bool { return now.Before(s.until) }
+// Active reports whether there is a limit.
+func (s *Server) Active(now time.Time) bool { return now.Before(s.until) }
 
 func (s *Server) fill(now time.Time) { s.bucket.fill(now, s.rate, max(s.rate, 1)) }
--- a/limit/server_test.go
+++ b/limit/server_test.go
@@ -26,7 +26,7 @@
 				highest = max(highest, rate)
 				s.Set(now, rate)
 			}
-			if s.Wait(now) == 0 && s.limited(now) {
+			if s.Wait(now) == 0 && s.Active(now) {
 				s.Take(now)
 				taken = append(taken, now)
 			}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// crashMemory is the time for which a crash counts.
-	crashMemory = 10 * time.Minute
+	// CrashMemory is the time for which a crash counts.
+	CrashMemory = 10 * time.Minute
 	// sameMoment is the time within which crashes count as one: servers that end at
 	// the same moment were evicted or lost power together.
 	sameMoment = 50 * time.Millisecond
@@ -111,7 +111,7 @@
 
 // expire forgets crashes that no longer count, and when their suspects were served.
 func (d *Detector) expire(now time.Time) {
-	d.log = slices.DeleteFunc(d.log, func(c crash) bool { return now.Sub(c.at) > crashMemory })
+	d.log = slices.DeleteFunc(d.log, func(c crash) bool { return now.Sub(c.at) > CrashMemory })
 	maps.DeleteFunc(d.served, func(part string, _ time.Time) bool {
 		return !slices.ContainsFunc(d.log, func(c crash) bool { _, ok := c.parts[part]; return ok })
 	})
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -110,7 +110,7 @@
 	g := NewWithT(t)
 	d := NewDetector(3)
 	crashSeries(d, 3, "bad")
-	g.Expect(d.Suspected(at(0).Add(crashMemory + time.Second))).To(BeEmpty())
+	g.Expect(d.Suspected(at(0).Add(CrashMemory + time.Second))).To(BeEmpty())
 	crashSeries(d, 2*maxCrashes, "x")
 	g.Expect(d.log).To(HaveLen(maxCrashes))
 	var many []string
