edge: evaluate crash reports together

The loss of 60 servers that had requests of 300 daemons brings 18,000 reports, and each was evaluated against all others: 2,511 us per report, 45 s of the collector's control goroutine (BenchmarkCrashReports). Reports within 0.1 s are now evaluated together, and a report names each part once: 4 us per report.

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -31,6 +31,8 @@
 	// inquiryWait is the longest time for which the daemon that collects crash reports
 	// waits for what the others have served.
 	inquiryWait = 250 * time.Millisecond
+	// evaluationInterval is the minimum time between two evaluations of the reports.
+	evaluationInterval = 100 * time.Millisecond
 	// crashCollectors is the number of daemons that collect crash reports.
 	crashCollectors = 2
 	// maxInquired bounds the daemons that a collector asks and tells directly. The
@@ -154,7 +156,7 @@
 	c.done, c.crashed, c.suspects = true, errors.Is(err, syscall.ECONNREFUSED), nil
 	q.mu.Unlock()
 	if c.crashed {
-		q.report(&CrashReport{Server: run, Suspects: suspects})
+		q.report(&CrashReport{Server: run, Suspects: mergeSuspects(suspects)})
 	}
 	time.AfterFunc(crashCheckMemory, func() {
 		q.mu.Lock()
@@ -163,6 +165,24 @@
 	})
 }
 
+// mergeSuspects returns each part once. An answer to one of the requests with it that
+// was not under way counts for all.
+func mergeSuspects(all []quarantine.Suspect) []quarantine.Suspect {
+	index := map[string]int{}
+	var out []quarantine.Suspect
+	for _, s := range all {
+		i, ok := index[s.Part]
+		if !ok {
+			index[s.Part] = len(out)
+			out = append(out, s)
+			continue
+		}
+		out[i].Depth = max(out[i].Depth, s.Depth)
+		out[i].Flowing = out[i].Flowing && s.Flowing
+	}
+	return out
+}
+
 // quarantineControl collects crash reports, decides which parts are quarantined, and
 // puts decisions into force. Only the control goroutine uses it.
 type quarantineControl struct {
@@ -170,6 +190,9 @@
 	settings QuarantineSettings
 	guard    *contentGuard
 	detector *quarantine.Detector
+	// unevaluated is set if there are reports since evaluated.
+	unevaluated bool
+	evaluated   time.Time
 	// verdictAt is the latest time of the next decision; zero if none is due.
 	verdictAt time.Time
 	// asked holds the parts of the inquiry, and unanswered the VMs that have not
@@ -248,13 +271,21 @@
 			q.detector.Explained(s.Part)
 		}
 	}
-	if q.verdictAt.IsZero() {
+	q.unevaluated = true
+	q.evaluate(now)
+}
+
+// evaluate starts an inquiry if the reports accuse a part. The loss of many servers
+// brings many reports at once, so that they are evaluated together.
+func (q *quarantineControl) evaluate(now time.Time) {
+	if q.unevaluated && q.verdictAt.IsZero() && now.Sub(q.evaluated) >= evaluationInterval {
 		q.inquire(now)
 	}
 }
 
 // inquire asks other daemons about the parts that the crashes accuse.
 func (q *quarantineControl) inquire(now time.Time) {
+	q.unevaluated, q.evaluated = false, now
 	suspected := q.detector.Suspected(now)
 	if len(suspected) == 0 {
 		return
@@ -298,6 +329,7 @@
 	if !q.verdictAt.IsZero() && !now.Before(q.verdictAt) {
 		q.decide(now)
 	}
+	q.evaluate(now)
 	if q.guard.list.Load().Len() > 0 && q.highCapacity.Owner("crashes") == q.vm {
 		for _, part := range q.guard.list.Load().Outdated(q.guard.wallNow()) {
 			q.remove(part)
