--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -32,7 +32,7 @@
 	// waits for what the others have served.
 	inquiryWait = 250 * time.Millisecond
 	// evaluationInterval is the minimum time between two evaluations of the reports.
-	evaluationInterval = 100 * time.Millisecond
+	evaluationInterval = 30 * time.Millisecond
 	// crashCollectors is the number of daemons that collect crash reports.
 	crashCollectors = 2
 	// maxInquired bounds the daemons that a collector asks and tells directly. The
