limit: forget a server's limit soon after it is no longer named

A limit held for 10 s after it was named last, because the daemon that gets the first answer without one may not have heard of it before: with many daemons that is the rule. While it holds, answers name it about once in 1/limit, so 2 s and three such times suffice: 4 s at 1.5 requests a second.

--- a/limit/server.go
+++ b/limit/server.go
@@ -6,8 +6,12 @@
 
 const (
 	// serverMemory is the time for which a server's limit holds unless it is named
-	// again. It is longer for a limit below one request in that time.
-	serverMemory = 10 * time.Second
+	// again, plus the time of renewals requests at the limit. The daemon that gets the
+	// first answer without a limit may not have heard of it before.
+	serverMemory = 2 * time.Second
+	renewals     = 3
+	// exclusion is the time for which an excluded server gets no requests.
+	exclusion = 5 * time.Second
 	// lowestServerRate is the rate at which a server that takes no requests is asked
 	// again.
 	lowestServerRate = 0.05
@@ -29,12 +33,12 @@
 	}
 	s.fill(now)
 	s.rate = max(rate, lowestServerRate)
-	s.until = now.Add(max(serverMemory, time.Duration(2/s.rate*float64(time.Second))))
+	s.until = now.Add(serverMemory + time.Duration(renewals/s.rate*float64(time.Second)))
 }
 
-// Exclude forbids all requests for serverMemory.
+// Exclude forbids all requests for some seconds.
 func (s *Server) Exclude(now time.Time) {
-	s.bucket, s.rate, s.until = bucket{at: now}, 0, now.Add(serverMemory)
+	s.bucket, s.rate, s.until = bucket{at: now}, 0, now.Add(exclusion)
 }
 
 // Lift removes the limit.
--- a/pool/filter_limit_test.go
+++ b/pool/filter_limit_test.go
@@ -26,7 +26,8 @@
 	g := NewWithT(t)
 	p := New(DefaultConfig(), 0)
 	p.Step(startTime, RunnersListed{Runners: runnerList(2)})
-	p.Step(startTime, RunnerLimited{Runner: "r0", Limit: 2, Limited: true})
+	named := RunnerLimited{Runner: "r0", Limit: 2, Limited: true}
+	p.Step(startTime, named)
 	counts := map[string]int{}
 	now := startTime
 	run := func(d time.Duration) {
@@ -37,6 +38,9 @@
 			for _, a := range actions {
 				if granted, ok := a.(Granted); ok {
 					p.Step(now, Released{Ticket: granted.Ticket, Tokens: 10})
+					if granted.Runner == named.Runner {
+						p.Step(now, named)
+					}
 				}
 			}
 		}
@@ -45,7 +49,8 @@
 	g.Expect(counts["r0"]).To(BeNumerically("<=", 2*4+2))
 	g.Expect(counts["r0"]).To(BeNumerically(">=", 2*4*3/4), "most of the limit must be used")
 	g.Expect(counts["r1"]).To(BeNumerically(">", 180))
-	p.Step(now, RunnerLimited{Runner: "r0"})
+	named = RunnerLimited{Runner: "r0"}
+	p.Step(now, named)
 	before := counts["r0"]
 	run(time.Second)
 	g.Expect(counts["r0"] - before).To(BeNumerically(">", 15))
