--- a/edge/control.go
+++ b/edge/control.go
@@ -395,7 +395,8 @@
 // wait for the first read of the quarantines.
 const quarantineLoadWait = 500 * time.Millisecond
 
-// signalLoaded closes loaded once requests need not wait any longer.
+// signalLoaded closes loaded once the configuration, the list of servers and, for a
+// limited time, the quarantines are known, so that waiting requests continue.
 func (c *control) signalLoaded() {
 	if c.catalog.Load() == nil || c.feeds[feedServers].replica.End() == hosting.NoOffset {
 		return
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -160,9 +160,12 @@
 		for _, r := range records {
 			c.announcer.observe(r)
 		}
-		for _, vm := range c.memberTable.apply(records, c.events) {
+		changed := c.memberTable.apply(records, c.events)
+		for _, vm := range changed {
 			c.forgetPeerEnds(vm)
 			c.disconnect(vm)
+		}
+		if len(changed) > 0 {
 			c.schedulersChanged(now)
 		}
 		c.updateMemberList(now)
--- a/edge/message.go
+++ b/edge/message.go
@@ -108,8 +108,10 @@
 // MessageKind implements peer.Message.
 func (*Quarantined) MessageKind() peer.Kind { return kindQuarantined }
 
-// ServerLimit tells the scheduler of a pool how many requests a server takes.
+// ServerLimit tells the scheduler of an engine, or the other users of a plain
+// server, how many requests the server takes.
 type ServerLimit struct {
+	// Pool is empty for a plain server.
 	Pool   string `cbor:"1,keyasint"`
 	Server string `cbor:"2,keyasint"`
 	// Limit is the number of requests per second from all daemons together.
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -165,8 +165,8 @@
 	})
 }
 
-// mergeSuspects returns each part once. An answer to one of the requests with it that
-// was not under way counts for all.
+// mergeSuspects returns each part once. It is flowing only if the answers to all
+// requests with it were.
 func mergeSuspects(all []quarantine.Suspect) []quarantine.Suspect {
 	index := map[string]int{}
 	var out []quarantine.Suspect
@@ -343,7 +343,7 @@
 func (q *quarantineControl) decide(now time.Time) {
 	q.verdictAt, q.unanswered = time.Time{}, nil
 	for {
-		part, ok := q.detector.Accused(now)
+		part, ok := q.detector.Culprit(now)
 		if !ok {
 			return
 		}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -53,9 +53,9 @@
 	log     []crash
 	// served holds when a suspect was last served.
 	served map[string]time.Time
-	// relapsed holds the parts that were quarantined before. A single crash
+	// quarantinedBefore holds the parts that were quarantined before. A single crash
 	// suffices for them.
-	relapsed map[string]bool
+	quarantinedBefore map[string]bool
 }
 
 type crash struct {
@@ -83,7 +83,7 @@
 
 // NewDetector returns a detector that needs a number of crashes to accuse a part.
 func NewDetector(crashes int) *Detector {
-	return &Detector{crashes: crashes, served: map[string]time.Time{}, relapsed: map[string]bool{}}
+	return &Detector{crashes: crashes, served: map[string]time.Time{}, quarantinedBefore: map[string]bool{}}
 }
 
 // Crashed records a crash. Reports of several daemons on the same server add up.
@@ -127,7 +127,7 @@
 }
 
 // Quarantined records that a part is or was quarantined.
-func (d *Detector) Quarantined(part string) { d.relapsed[part] = true }
+func (d *Detector) Quarantined(part string) { d.quarantinedBefore[part] = true }
 
 // Explained records that a part is the cause of the crashes that name it. They then
 // accuse no other part.
@@ -140,10 +140,10 @@
 }
 
 // Forget drops the memory of an earlier quarantine.
-func (d *Detector) Forget(part string) { delete(d.relapsed, part) }
+func (d *Detector) Forget(part string) { delete(d.quarantinedBefore, part) }
 
 // Suspected returns the parts that enough crashes accuse. Most of them may have
-// been beside the cause: Accused decides once it is known when they were last served.
+// been beside the cause: Culprit decides once it is known when they were last served.
 func (d *Detector) Suspected(now time.Time) []string {
 	d.expire(now)
 	var out []string
@@ -156,10 +156,10 @@
 	return out
 }
 
-// Accused returns the next part to quarantine, or false if there is none. It
-// accuses the part that explains most crashes, among equals the deepest, which the
+// Culprit returns the next part to quarantine, or false if there is none. It is
+// the part that explains most crashes, among equals the deepest, which the
 // fewest sound requests share.
-func (d *Detector) Accused(now time.Time) (string, bool) {
+func (d *Detector) Culprit(now time.Time) (string, bool) {
 	d.expire(now)
 	all := d.evidence()
 	maps.DeleteFunc(all, func(part string, e evidence) bool { return !d.enough(part, e) })
@@ -167,7 +167,7 @@
 		return "", false
 	}
 	return slices.MaxFunc(slices.Sorted(maps.Keys(all)), func(a, b string) int {
-		return cmp.Or(compareBool(d.relapsed[a], d.relapsed[b]), cmp.Compare(all[a].count, all[b].count), cmp.Compare(all[a].depth, all[b].depth))
+		return cmp.Or(compareBool(d.quarantinedBefore[a], d.quarantinedBefore[b]), cmp.Compare(all[a].count, all[b].count), cmp.Compare(all[a].depth, all[b].depth))
 	}), true
 }
 
@@ -214,7 +214,7 @@
 	switch {
 	case d.crashes == 0:
 		return false
-	case d.relapsed[part]:
+	case d.quarantinedBefore[part]:
 		need = 1
 	case !d.served[part].IsZero():
 		need *= servedFactor
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -30,7 +30,7 @@
 
 // Guards against the wrong part in quarantine: what the requests share with sound
 // ones, and what ran beside them, must not be accused.
-func TestCauseIsAccusedAndNotWhatRanBeside(t *testing.T) {
+func TestCauseIsCulpritAndNotWhatRanBeside(t *testing.T) {
 	g := NewWithT(t)
 	d := NewDetector(3)
 	for i := range 3 {
@@ -39,20 +39,20 @@
 	}
 	g.Expect(d.Suspected(at(300))).To(Equal([]string{"bad", "popular"}))
 	d.Served("popular", at(150))
-	part, ok := d.Accused(at(300))
+	part, ok := d.Culprit(at(300))
 	g.Expect(ok).To(BeTrue())
 	g.Expect(part).To(Equal("bad"))
 	d.Explained("bad")
-	_, ok = d.Accused(at(300))
+	_, ok = d.Culprit(at(300))
 	g.Expect(ok).To(BeFalse())
 }
 
 // Guards against an accused first part, which most requests share, if nobody knows
 // when it was last served.
-func TestDeepestOfEqualPartsIsAccused(t *testing.T) {
+func TestDeepestOfEqualPartsIsCulprit(t *testing.T) {
 	d := NewDetector(3)
 	crashSeries(d, 3, "first", "second")
-	part, _ := d.Accused(at(300))
+	part, _ := d.Culprit(at(300))
 	NewWithT(t).Expect(part).To(Equal("second"))
 }
 
@@ -99,7 +99,7 @@
 	d := NewDetector(3)
 	d.Quarantined("bad")
 	crashSeries(d, 1, "popular", "bad")
-	part, _ := d.Accused(at(100))
+	part, _ := d.Culprit(at(100))
 	g.Expect(part).To(Equal("bad"))
 	d.Forget("bad")
 	g.Expect(d.Suspected(at(100))).To(BeEmpty())
@@ -132,7 +132,7 @@
 // Guards against any order of crashes, answers and inquiries that accuses a sound
 // part or never the cause. Servers crash exactly when a request with the cause runs,
 // and other requests run beside it; all that end are answered.
-func TestOnlyTheCauseIsAccused(t *testing.T) {
+func TestOnlyTheCauseIsCulprit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := NewDetector(3)
 		part := rapid.IntRange(0, 7)
@@ -161,11 +161,11 @@
 				d.Served(p, when)
 			}
 		}
-		if got, _ := d.Accused(at(300)); got != "bad" {
+		if got, _ := d.Culprit(at(300)); got != "bad" {
 			t.Fatalf("accused %q", got)
 		}
 		d.Explained("bad")
-		if got, ok := d.Accused(at(300)); ok {
+		if got, ok := d.Culprit(at(300)); ok {
 			t.Fatalf("accused %q besides", got)
 		}
 	})
@@ -204,7 +204,7 @@
 	l, _ = l.With(start, "b", Entry{UntilMs: start.Add(1000 * time.Hour).UnixMilli()})
 	g.Expect(l.Left(start, "b")).To(Equal(maxUntil))
 	g.Expect(l.Active(start.Add(time.Hour))).To(Equal(1))
-	g.Expect(l.Outdated(start.Add(relapseMemory + time.Hour))).To(Equal([]string{"a"}))
+	g.Expect(l.Outdated(start.Add(repeatMemory + time.Hour))).To(Equal([]string{"a"}))
 	g.Expect(l.Without("a").Len()).To(Equal(1))
 	_, err := DecodeEntry([]byte("{"))
 	g.Expect(err).To(HaveOccurred())
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// relapseMemory is the time after its end for which a quarantine is remembered.
-	relapseMemory = 24 * time.Hour
+	// repeatMemory is the time after its end for which a quarantine is remembered.
+	repeatMemory = 24 * time.Hour
 	// maxEntries bounds the parts in quarantine.
 	maxEntries = 1024
 	// maxUntil bounds the end of a quarantine from now.
@@ -125,7 +125,7 @@
 	var out []string
 	if l != nil {
 		for part, e := range l.entries {
-			if now.Sub(e.Until()) > relapseMemory {
+			if now.Sub(e.Until()) > repeatMemory {
 				out = append(out, part)
 			}
 		}
