--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -14,6 +16,8 @@
 	"github.com/mimosakeel/mimosakeel/dispatch"
 	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/hlc"
+	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/pool"
 	"github.com/mimosakeel/mimosakeel/registry"
 	"github.com/mimosakeel/mimosakeel/schedule"
@@ -121,3 +125,76 @@
 	n.queue = nil
 	return granted
 }
+
+// Guards against plain servers that get the whole share of a daemon at once, and
+// against a limit that is forgotten while its server has no requests.
+func TestPlainLimitIsCountedAndKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPlainScheduler("fd")
+		p.servers = func(string) []*registry.Server { return []*registry.Server{{ID: "i-0"}, {ID: "i-1"}} }
+		request := dispatch.PlacementRequest{Request: &dispatch.Request{Service: &catalog.Service{Name: "desk"}}}
+		place := func() map[string]int {
+			counts := map[string]int{}
+			for range 10 {
+				placed, err := p.Place(context.Background(), request)
+				g.Expect(err).NotTo(HaveOccurred())
+				counts[placed.Server.ID]++
+				p.Done(placed, dispatch.Result{OK: true})
+			}
+			return counts
+		}
+		p.setLimit("i-0", 0.2, true)
+		g.Expect(place()["i-0"]).To(BeZero())
+		time.Sleep(6 * time.Second)
+		g.Expect(place()["i-0"]).To(BeNumerically("<=", 1))
+		p.setLimit("i-0", 0.2, true)
+		time.Sleep(11 * faultHalfLife)
+		p.dropIdle(time.Now())
+		g.Expect(p.state["i-0"].limit.Active(time.Now())).To(BeTrue())
+	})
+}
+
+// Guards against daemons that are not told the limit of a plain server, and against
+// one that is told with each answer.
+func TestOtherUsersAreToldThePlainServersLimit(t *testing.T) {
+	g := NewWithT(t)
+	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2")
+	told := map[string][]bool{}
+	for vm, c := range n.daemons {
+		c.limitPlain = func(_ string, _ float64, limited bool) { told[vm] = append(told[vm], limited) }
+	}
+	now := time.Now()
+	plain := &registry.Server{ID: "i-0", Service: "desk"}
+	c := n.daemons["vm-0"]
+	c.limitNamed(now, plain, 2, true)
+	c.limitNamed(now.Add(plainLimitRefresh/2), plain, 2, true)
+	n.deliver(now)
+	g.Expect(told).To(Equal(map[string][]bool{"vm-1": {true}, "vm-2": {true}}))
+	c.limitNamed(now.Add(plainLimitRefresh), plain, 2, true)
+	c.limitNamed(now.Add(plainLimitRefresh), plain, 0, false)
+	n.deliver(now)
+	g.Expect(told["vm-1"]).To(Equal([]bool{true, true, false}))
+}
+
+// Guards against a scheduler that does not know the limits of engines because it has
+// taken over, or was restarted, after they were named.
+func TestNewSchedulersAreToldTheLimits(t *testing.T) {
+	g := NewWithT(t)
+	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2")
+	c := n.daemons["vm-0"]
+	changes := 0
+	c.schedulersChanged = func(time.Time) { changes++ }
+	owner := c.scheduler(n.poolOf("i-1"))
+	restarted := c.memberTable.load()[owner]
+	restarted.Certificate = strings.Repeat("cd", 32)
+	c.apply(feedMembers, hosting.KeyedRecord{Key: owner, Value: encodeJSON(t, restarted)})
+	g.Expect(changes).To(BeNumerically(">", 0), "after a restart")
+	changes = 0
+	c.highCapacity = member.NewSet([]member.Candidate{{ID: "vm-7", FailureDomain: "fd-0"}})
+	c.dirty = true
+	c.publish(time.Now())
+	g.Expect(changes).To(Equal(1), "after a change of the scheduler")
+	c.publish(time.Now())
+	g.Expect(changes).To(Equal(1), "without a change")
+}
--- a/limit/server_test.go
+++ b/limit/server_test.go
@@ -64,3 +64,15 @@
 	g.Expect(s.Wait(now.Add(time.Second))).To(Equal(exclusion - time.Second))
 	g.Expect(s.Wait(now.Add(exclusion))).To(BeZero())
 }
+
+// Guards against a server that is limited again and at once gets what it did not get
+// while it was free.
+func TestNewServerLimitBeginsWithoutCredit(t *testing.T) {
+	g := NewWithT(t)
+	var s Server
+	now := time.Unix(1000, 0)
+	s.Set(now, 5)
+	now = now.Add(time.Minute)
+	s.Set(now, 5)
+	g.Expect(s.Wait(now)).To(BeNumerically(">", 100*time.Millisecond))
+}
--- a/pool/filter_limit_test.go
+++ b/pool/filter_limit_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/mimosakeel/mimosakeel/backend"
 )
 
 // grantedOn counts the grants by runner and the refusals by reason.
@@ -91,3 +93,25 @@
 	g.Expect(counts["r0"]).To(BeZero())
 	g.Expect(counts["r1"]).To(Equal(20))
 }
+
+// Guards against a limited runner whose prefills for other runners are not counted.
+func TestPrefillsCountTowardsTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	list := runnerList(3)
+	list[0].Role, list[1].Role, list[2].Role = backend.RolePrefill, backend.RolePrefill, backend.RoleDecode
+	p := New(DefaultConfig(), 0)
+	p.Step(startTime, RunnersListed{Runners: list})
+	p.Step(startTime, RunnerLimited{Runner: "r0", Limit: 1, Limited: true})
+	now := startTime.Add(1100 * time.Millisecond)
+	prefills := map[string]int{}
+	for i := range 6 {
+		request := Request{ID: fmt.Sprint(i), Entry: "e", Customer: "c", PromptTokens: 100, MaxTokens: 10}
+		for _, a := range p.Step(now, GrantRequested{Request: request}) {
+			if granted, ok := a.(Granted); ok {
+				prefills[granted.Prefill]++
+			}
+		}
+	}
+	g.Expect(prefills["r0"]).To(Equal(1))
+	g.Expect(prefills["r1"]).To(Equal(5))
+}
