--- a/edge/follow.go
+++ b/edge/follow.go
@@ -96,6 +96,8 @@
 			return err
 		}
 		f.trimmed = false
+		f.events.Record(event.KindConfig, "topic_read_anew", f.topic.String(), event.F("known_end", formatInt(from)),
+			event.F("end", formatInt(page.End)), event.F("records", formatInt(int64(len(page.Records)))))
 		f.setKnownEnd(max(page.End, from))
 		f.onPage(page, true)
 		return nil
