hosting, replica, edge: positions in the store name its history

Cause: every component compared offsets, which the store gives out again in each history. The replicas ignored the new records as older than what they had, and the reads that got 410 were repeated without a pause (473 between 17.0 and 21.5 s).

Change: a position holds the number of the history and the offset, so that positions of a later history are higher, in replicas, gossip, lease terms and fencing tokens alike. The store's client rejects positions of earlier histories, and answers whose history is missing, unreadable or lower than before. A replica enters a new history with all newest records only, from the store or as a whole from a peer. A configuration that the store has lost stays in force, and peers pass it on to new daemons. An append that took effect in another history extends no lease.

--- a/authority/machine.go
+++ b/authority/machine.go
@@ -234,8 +234,13 @@
 		return nil
 	}
 	switch {
-	case ev.Outcome == hosting.OutcomeDone:
+	case ev.Outcome == hosting.OutcomeDone && ev.Offset == f.append.At:
 		return m.appendAccepted(now)
+	case ev.Outcome == hosting.OutcomeDone:
+		// A new history of the store has begun; the record extends no lease.
+		m.inFlight = nil
+		m.handleConflict()
+		return m.readFrom(now, hosting.NoOffset)
 	case ev.Conflict && !f.outcomeUnknown:
 		m.inFlight = nil
 		m.handleConflict()
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -221,7 +221,7 @@
 func (d *duties) storeFailed(call string, offset int64, err error) {
 	if !d.storeLost.Swap(true) {
 		d.events.Record(event.KindFault, "duty_store_lost", d.topic.String(), event.F("call", call),
-			event.F("offset", formatInt(offset)), event.F("error", err.Error()))
+			event.F("offset", hosting.FormatPosition(offset)), event.F("error", err.Error()))
 	}
 }
 
@@ -238,7 +238,8 @@
 	if from != hosting.NoOffset {
 		page, err := d.topics.Follow(ctx, d.topic, from, 0)
 		var trimmed *hosting.TrimmedError
-		if !asError(err, &trimmed) {
+		var lost *hosting.HistoryError
+		if !asError(err, &trimmed) && !asError(err, &lost) {
 			return page, err
 		}
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -381,11 +381,12 @@
 		feedMembers:    d.Source.MemberTopic,
 		feedQuarantine: d.Source.QuarantineTopic,
 	}
+	keep := map[feedID]replica.Keep{feedConfig: d.control.keepConfig}
 	for id, topic := range topics {
 		read := func(page hosting.KeyedPage, reset bool) {
 			d.control.emit(feedPage{feed: feedID(id), page: page, reset: reset})
 		}
-		feeds[id] = &feed{topic: topic, replica: replica.New(), follower: newFollower(d.Topics, topic, d.Events, read)}
+		feeds[id] = &feed{topic: topic, replica: replica.New(keep[feedID(id)]), follower: newFollower(d.Topics, topic, d.Events, read)}
 	}
 	feeds[feedQuarantine].follower.wait = quarantineWait
 	return feeds
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/peer"
@@ -58,12 +59,17 @@
 	End int64 `cbor:"1,keyasint"`
 	// Age is the time since the replica was last known to be complete.
 	Age time.Duration `cbor:"2,keyasint"`
+	// Version is the version of the configuration in force, in the state of its feed. It
+	// may be higher than that of the store, if the store has lost it.
+	Version int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // FeedRecords are records of a topic that are complete up to End.
 type FeedRecords struct {
 	Records []hosting.KeyedRecord `cbor:"1,keyasint,omitempty"`
 	End     int64                 `cbor:"2,keyasint"`
+	// Whole is set if Records continue up to the end of the sender's replica.
+	Whole bool `cbor:"3,keyasint,omitempty"`
 }
 
 // gossipRounds returns the number of heartbeat rounds after which new records
@@ -122,13 +128,11 @@
 // applyPage applies a page that this daemon has read from the store.
 func (c *control) applyPage(now time.Time, ev feedPage) {
 	f := c.feeds[ev.feed]
-	var changed []hosting.KeyedRecord
 	if ev.reset {
-		changed = f.replica.Reset(ev.page)
+		c.resetReplica(now, ev.feed, ev.page, true)
 	} else {
-		changed = f.replica.Apply(ev.page.Records, ev.page.End)
+		c.applyRecords(now, ev.feed, f.replica.Apply(ev.page.Records, ev.page.End), true)
 	}
-	c.applyRecords(now, ev.feed, changed, true)
 	f.replica.Refresh(ev.page.End, now)
 	if ev.feed == feedServers {
 		c.setStoreUnavailable(now, false)
@@ -136,6 +140,34 @@
 	f.follower.setKnownEnd(f.replica.End())
 }
 
+// resetReplica applies all newest records of a topic. A new history of the store, which
+// has begun with an older copy, is entered in this way only: records that neither
+// the copy nor their writers have written again are gone.
+func (c *control) resetReplica(now time.Time, id feedID, page hosting.KeyedPage, fromStore bool) {
+	f := c.feeds[id]
+	before := f.replica.End()
+	changed, kept := f.replica.Reset(page)
+	if before != hosting.NoOffset && hosting.History(page.End) > hosting.History(before) {
+		c.recordFault("history_lost", f.topic.String(), event.F("known_end", hosting.FormatPosition(before)),
+			event.F("end", hosting.FormatPosition(page.End)), event.F("changed", formatInt(int64(len(changed)))),
+			event.F("kept", formatInt(int64(len(kept)))))
+	}
+	c.applyRecords(now, id, changed, fromStore)
+}
+
+// keepConfig is the replica.Keep of the configuration topic.
+func (c *control) keepConfig(record, later hosting.KeyedRecord) bool {
+	if record.Key != c.source.ConfigKey || record.Value == nil {
+		return false
+	}
+	ours, err := c.source.DecodeConfig(record.Value)
+	if err != nil || later.Value == nil {
+		return err == nil
+	}
+	theirs, err := c.source.DecodeConfig(later.Value)
+	return err != nil || ours.Version > theirs.Version
+}
+
 // applyRecords puts new records of a topic into effect.
 func (c *control) applyRecords(now time.Time, id feedID, records []hosting.KeyedRecord, fromStore bool) {
 	if len(records) == 0 {
@@ -185,6 +217,9 @@
 			out[id].End = hosting.NoOffset
 		}
 	}
+	if cat := c.catalog.Load(); cat != nil {
+		out[feedConfig].Version = cat.Version()
+	}
 	return out
 }
 
@@ -235,6 +270,11 @@
 		s := states[id]
 		c.notePeerEnd(from, id, s.End)
 		f.replica.Refresh(s.End, now.Add(-s.Age))
+		if feedID(id) == feedConfig && s.End <= f.replica.End() && s.Version > c.configVersion() && now.Sub(f.pulled) >= pullInterval {
+			// The store has lost a version that the peer still has.
+			f.pulled, pull.Ends[id], behind = now, hosting.NoOffset, true
+			continue
+		}
 		if s.End <= f.replica.End() || (s.End <= f.pulledEnd && now.Sub(f.pulled) < pullInterval) {
 			continue
 		}
@@ -247,6 +287,13 @@
 	}
 }
 
+func (c *control) configVersion() int64 {
+	if cat := c.catalog.Load(); cat != nil {
+		return cat.Version()
+	}
+	return -1
+}
+
 // answerPull sends a peer the records that it lacks.
 func (c *control) answerPull(now time.Time, to string, m *Pull) {
 	states := c.feedStates(now)
@@ -272,7 +319,7 @@
 			return FeedRecords{Records: records[:i], End: records[i-1].Offset + 1}
 		}
 	}
-	return FeedRecords{Records: records, End: end}
+	return FeedRecords{Records: records, End: end, Whole: true}
 }
 
 // applyPush applies the records of a push.
@@ -281,11 +328,20 @@
 		if id < len(m.Feeds) {
 			c.notePeerEnd(from, id, m.Feeds[id].End)
 		}
-		if id >= len(m.Feeds) || m.Feeds[id].End <= f.replica.End() {
+		if id >= len(m.Feeds) {
 			continue
 		}
-		changed := f.replica.Apply(m.Feeds[id].Records, m.Feeds[id].End)
-		c.applyRecords(now, feedID(id), changed, false)
+		push, end := m.Feeds[id], f.replica.End()
+		switch {
+		case end != hosting.NoOffset && hosting.History(push.End) > hosting.History(end):
+			if !push.Whole {
+				// This daemon reads the topic itself once its replica is stale.
+				continue
+			}
+			c.resetReplica(now, feedID(id), hosting.KeyedPage{End: push.End, Records: push.Records}, false)
+		case push.End > end || feedID(id) == feedConfig:
+			c.applyRecords(now, feedID(id), f.replica.Apply(push.Records, push.End), false)
+		}
 		f.follower.setKnownEnd(f.replica.End())
 	}
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/hosting"
 )
@@ -41,8 +43,9 @@
 	wake    chan struct{}
 	// knownEnd is the end offset of the known records, including those from peers.
 	knownEnd atomic.Int64
-	trimmed  bool
-	failed   bool
+	// trimmed is set if the store no longer has the records from knownEnd on.
+	trimmed bool
+	failed  bool
 }
 
 func newFollower(topics hosting.Topics, topic hosting.Topic, events *event.Recorder, onPage func(hosting.KeyedPage, bool)) *follower {
@@ -95,16 +98,20 @@
 		if err != nil {
 			return err
 		}
+		f.events.Record(event.KindConfig, "topic_read_anew", f.topic.String(), event.F("known_end", hosting.FormatPosition(from)),
+			event.F("end", hosting.FormatPosition(page.End)), event.F("records", formatInt(int64(len(page.Records)))))
+		if page.End < from {
+			return eris.Errorf("%s ends at %s, before the known end %s", f.topic, hosting.FormatPosition(page.End), hosting.FormatPosition(from))
+		}
+		f.setKnownEnd(page.End)
 		f.trimmed = false
-		f.events.Record(event.KindConfig, "topic_read_anew", f.topic.String(), event.F("known_end", formatInt(from)),
-			event.F("end", formatInt(page.End)), event.F("records", formatInt(int64(len(page.Records)))))
-		f.setKnownEnd(max(page.End, from))
 		f.onPage(page, true)
 		return nil
 	}
 	page, err := f.topics.Follow(ctx, f.topic, from, f.wait)
 	var trimmed *hosting.TrimmedError
-	if errors.As(err, &trimmed) {
+	var lost *hosting.HistoryError
+	if errors.As(err, &trimmed) || errors.As(err, &lost) {
 		f.trimmed = true
 		return nil
 	}
--- a/edge/members.go
+++ b/edge/members.go
@@ -170,7 +170,7 @@
 			return
 		}
 		if ok {
-			a.events.Record(event.KindFault, "announcement_replaced", a.vm, event.F("offset", formatInt(a.foreign.Load())))
+			a.events.Record(event.KindFault, "announcement_replaced", a.vm, event.F("offset", hosting.FormatPosition(a.foreign.Load())))
 		}
 		sleep(ctx, announceRetry/2+rand.N(announceRetry))
 	}
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -35,7 +35,7 @@
 	}
 	age := time.Since(time.Unix(0, s.fresh.Load()))
 	return []event.Field{
-		event.F("servers", "offset "+formatInt(end)),
+		event.F("servers", "offset "+hosting.FormatPosition(end)),
 		event.F("servers_age", age.Round(time.Millisecond).String()),
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -3,6 +3,7 @@
 package replica
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -12,17 +13,28 @@
 
 // Replica is the copy of one keyed topic. It isn't safe for concurrent use.
 //
-// Invariant: the copy holds the record with the highest offset seen for each key,
-// so that a delayed or duplicate delivery has no effect.
+// Invariants: the copy holds the record with the highest offset seen for each key,
+// so that a delayed or duplicate delivery has no effect; all records are of the
+// history of End, except for those that keep retains in a history without any record.
 type Replica struct {
+	keep    Keep
 	records map[string]hosting.KeyedRecord
 	end     int64
 	fresh   time.Time
 }
 
-// New returns an empty copy.
-func New() *Replica {
-	return &Replica{records: map[string]hosting.KeyedRecord{}, end: hosting.NoOffset}
+// Keep reports whether the content of a record is newer than that of another record
+// of the same key, which a later history of the store holds. The other record has no
+// value if that history lacks the key.
+type Keep func(record, later hosting.KeyedRecord) bool
+
+// New returns an empty copy. Records that keep selects stay in the copy when the store
+// has lost them. keep may be nil.
+func New(keep Keep) *Replica {
+	if keep == nil {
+		keep = func(hosting.KeyedRecord, hosting.KeyedRecord) bool { return false }
+	}
+	return &Replica{keep: keep, records: map[string]hosting.KeyedRecord{}, end: hosting.NoOffset}
 }
 
 // End returns the offset below which the copy is complete, or hosting.NoOffset if
@@ -43,24 +55,35 @@
 
 // Reset applies a page with the newest record of every key and returns the records
 // that changed the copy. It deletes keys that the page lacks, and returns a record
-// without a value for each of them.
-func (r *Replica) Reset(page hosting.KeyedPage) []hosting.KeyedRecord {
+// without a value for each of them. kept holds the records that stay although the
+// page's history lacks them or holds older ones.
+func (r *Replica) Reset(page hosting.KeyedPage) (changed, kept []hosting.KeyedRecord) {
 	if page.End < r.end {
 		// The page is older than the copy.
-		return nil
+		return nil, nil
 	}
+	records := slices.Clone(page.Records)
 	present := map[string]bool{}
 	for _, record := range page.Records {
 		present[record.Key] = true
 	}
-	out := r.put(page.Records)
 	for key, old := range r.records {
 		if !present[key] && old.Value != nil && old.Offset < page.End {
-			out = append(out, r.put([]hosting.KeyedRecord{{Key: key, Offset: page.End - 1}})...)
+			records = append(records, hosting.KeyedRecord{Key: key, Offset: page.End - 1})
+		}
+	}
+	for _, record := range records {
+		old, ok := r.records[record.Key]
+		if ok && old.Offset < record.Offset && hosting.History(old.Offset) < hosting.History(page.End) && r.keep(old, record) {
+			old.Offset = record.Offset
+			r.records[record.Key] = old
+			kept = append(kept, old)
+			continue
 		}
+		changed = append(changed, r.put([]hosting.KeyedRecord{record})...)
 	}
 	r.end = page.End
-	return out
+	return changed, kept
 }
 
 // Apply applies records after which the copy is complete up to end, and returns
@@ -75,7 +98,7 @@
 	var out []hosting.KeyedRecord
 	for _, record := range records {
 		old, ok := r.records[record.Key]
-		if ok && old.Offset >= record.Offset {
+		if ok && old.Offset >= record.Offset && !r.keptByOther(old, record) {
 			continue
 		}
 		r.records[record.Key] = record
@@ -84,6 +107,11 @@
 	return out
 }
 
+// keptByOther reports whether another copy has kept a record that the store has lost.
+func (r *Replica) keptByOther(old, record hosting.KeyedRecord) bool {
+	return old.Offset == record.Offset && !bytes.Equal(old.Value, record.Value) && r.keep(record, old)
+}
+
 // Since returns the records at or above an offset, in the order of offsets.
 func (r *Replica) Since(offset int64) []hosting.KeyedRecord {
 	var out []hosting.KeyedRecord
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -41,11 +41,12 @@
 // stays in the copy although its record was deleted and trimmed between two reads.
 func TestResetIgnoresOldPagesAndDeletesMissingKeys(t *testing.T) {
 	g := NewWithT(t)
-	r := New()
+	r := New(nil)
 	r.Apply([]hosting.KeyedRecord{put(0, "a", "1"), put(1, "b", "2")}, 2)
-	g.Expect(r.Reset(hosting.KeyedPage{End: 1, Records: []hosting.KeyedRecord{put(0, "a", "1")}})).To(BeEmpty())
+	changed, _ := r.Reset(hosting.KeyedPage{End: 1, Records: []hosting.KeyedRecord{put(0, "a", "1")}})
+	g.Expect(changed).To(BeEmpty())
 	g.Expect(values(r)).To(Equal(map[string]string{"a": "1", "b": "2"}))
-	changed := r.Reset(hosting.KeyedPage{End: 5, Records: []hosting.KeyedRecord{put(4, "b", "9")}})
+	changed, _ = r.Reset(hosting.KeyedPage{End: 5, Records: []hosting.KeyedRecord{put(4, "b", "9")}})
 	g.Expect(changed).To(HaveLen(2))
 	g.Expect(values(r)).To(Equal(map[string]string{"b": "9"}))
 }
@@ -54,7 +55,7 @@
 // topic, and against an older time that replaces a newer one.
 func TestRefreshNeedsACompleteCopy(t *testing.T) {
 	g := NewWithT(t)
-	r := New()
+	r := New(nil)
 	now := time.Unix(1000, 0)
 	r.Apply([]hosting.KeyedRecord{put(0, "a", "1")}, 1)
 	r.Refresh(2, now)
@@ -78,9 +79,9 @@
 				log = append(log, put(int64(i), key, fmt.Sprint(i)))
 			}
 		}
-		want := New()
+		want := New(nil)
 		want.Apply(log, int64(len(log)))
-		got := New()
+		got := New(nil)
 		deliveries := rapid.IntRange(0, 6).Draw(t, "deliveries")
 		// Deliveries after the complete one are late and must change nothing.
 		complete := rapid.IntRange(0, deliveries).Draw(t, "complete")
@@ -98,3 +99,30 @@
 		}
 	})
 }
+
+// Guards against a copy that ignores a new history of the store, whose offsets are
+// lower, or that loses records which are newer than those of that history.
+func TestNewHistoryReplacesTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	in := func(offset int64) int64 { return hosting.Position(1, offset) }
+	newer := func(record, later hosting.KeyedRecord) bool {
+		return record.Key == "kept" && string(record.Value) > string(later.Value)
+	}
+	r := New(newer)
+	r.Apply([]hosting.KeyedRecord{put(0, "kept", "5"), put(1, "gone", "2"), put(2, "old", "3"), put(3, "kept", "8")}, 4)
+	changed, kept := r.Reset(hosting.KeyedPage{End: in(2), Records: []hosting.KeyedRecord{put(in(0), "kept", "5"), put(in(1), "old", "3")}})
+	g.Expect(changed).To(ConsistOf(put(in(1), "old", "3"), drop(in(1), "gone")))
+	g.Expect(kept).To(ConsistOf(put(in(0), "kept", "8")))
+	g.Expect(r.End()).To(Equal(in(2)))
+
+	late := New(newer)
+	late.Apply([]hosting.KeyedRecord{put(in(0), "kept", "5"), put(in(1), "old", "3")}, in(2))
+	g.Expect(late.Apply(r.Since(hosting.NoOffset), in(2))).To(ConsistOf(put(in(0), "kept", "8"), drop(in(1), "gone")))
+	g.Expect(r.Apply([]hosting.KeyedRecord{put(in(0), "kept", "5")}, in(2))).To(BeEmpty())
+	g.Expect(values(late)["kept"]).To(Equal("8"))
+
+	g.Expect(r.Apply([]hosting.KeyedRecord{put(in(2), "kept", "6")}, in(3))).To(HaveLen(1), "a record that was written in the new history")
+	empty, _ := r.Reset(hosting.KeyedPage{End: hosting.Position(2, 0)})
+	g.Expect(empty).To(ConsistOf(drop(hosting.Position(2, 0)-1, "old")))
+	g.Expect(r.Apply([]hosting.KeyedRecord{put(hosting.Position(2, 0), "old", "1")}, hosting.Position(2, 1))).To(HaveLen(1))
+}
