authority: a restarted daemon claims no lease within the lease duration after its start

Found by the random test of a restored store once its daemons restart: a holder that releases the lease, restarts and claims it again after another daemon has held it acts twice within the lease duration (TestRestartedHolderDoesNotAlternate failed: daemon 0 acts at 2 s and 3.6 s with another in between). The cooldown was known to the ended process only. A process that finds an earlier holder now claims nothing before the cooldown has passed since its first observation. The observation of a release keeps its term also if the answer to the append came after the term had ended.

--- a/authority/machine.go
+++ b/authority/machine.go
@@ -21,6 +21,9 @@
 	// newest is the newest observation. It is valid if known is set.
 	newest Observation
 	known  bool
+	// claimFrom is the earliest time of a claim. An earlier process of this VM may have
+	// held the authority before the holder that the first observation names.
+	claimFrom time.Time
 	// reading is set while a read is in flight. nextRead is the earliest time of
 	// the next one.
 	reading  bool
@@ -49,9 +52,11 @@
 	// firstSent is the time of the first send. The record may be in effect from
 	// then on.
 	firstSent time.Time
-	claim     bool
-	release   bool
-	key       string
+	// term is the term of the record, which may end before the append is accepted.
+	term    int64
+	claim   bool
+	release bool
+	key     string
 	// outcomeUnknown is set once an attempt has ended without a definite answer.
 	outcomeUnknown bool
 }
@@ -96,6 +101,7 @@
 // Step handles one event and returns the actions that the caller must carry out.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	var actions []Action
+	first := !m.known && m.newest.End == hosting.NoOffset
 	switch ev := ev.(type) {
 	case ObservationReceived:
 		m.observe(ev.Observation)
@@ -111,6 +117,9 @@
 	case Stop:
 		m.stopping = true
 	}
+	if first && m.known && m.newest.Term != hosting.NoOffset {
+		m.claimFrom = now.Add(m.cfg.Cooldown)
+	}
 	actions = m.reportTransitions(now, actions)
 	return append(actions, m.nextActions(now)...)
 }
@@ -203,7 +212,7 @@
 // claimIfExpired claims the authority once the lease of the newest record has
 // expired or was released.
 func (m *Machine) claimIfExpired(now time.Time) []Action {
-	if m.rank < 0 {
+	if m.rank < 0 || now.Before(m.claimFrom) {
 		return nil
 	}
 	wait := time.Duration(m.rank) * m.cfg.RankDelay
@@ -226,7 +235,7 @@
 		panic(err) // Plain strings and numbers always have an encoding.
 	}
 	a := Append{At: m.newest.End, Nonce: m.nonce, Record: hosting.KeyedRecord{Key: key, Value: value}}
-	m.inFlight = &pendingAppend{append: a, firstSent: now, key: key, claim: e.Term == hosting.NoOffset, release: e.Released}
+	m.inFlight = &pendingAppend{append: a, firstSent: now, key: key, term: e.Term, claim: e.Term == hosting.NoOffset, release: e.Released}
 	return a
 }
 
@@ -289,9 +298,9 @@
 	m.inFlight = nil
 	offset := f.append.At
 	if f.claim {
-		m.term = offset
+		f.term, m.term = offset, offset
 	}
-	m.newest = Observation{End: offset + 1, VM: m.vm, Term: m.term, Released: f.release, At: f.firstSent}
+	m.newest = Observation{End: offset + 1, VM: m.vm, Term: f.term, Released: f.release, At: f.firstSent}
 	m.known = true
 	m.renewedAt = f.firstSent
 	if f.release {
--- a/authority/machine_test.go
+++ b/authority/machine_test.go
@@ -107,7 +107,17 @@
 	lost               bool
 }{}
 
+// answer delivers the answer to a call, unless the calling process has ended.
+func (sim *simulation) answer(d *daemon, machine *Machine, delay time.Duration, ev Event) {
+	sim.after(delay, func() {
+		if d.machine == machine {
+			sim.step(d, ev)
+		}
+	})
+}
+
 func (sim *simulation) append(d *daemon, a Append) {
+	machine := d.machine
 	lost, answer := nextCall.lost, nextCall.answerDelay
 	sim.after(nextCall.delay, func() {
 		ev := Appended{Nonce: a.Nonce, Outcome: hosting.OutcomeRefused}
@@ -124,14 +134,15 @@
 		if lost {
 			ev = Appended{Nonce: a.Nonce, Outcome: hosting.OutcomeUnknown}
 		}
-		sim.after(answer, func() { sim.step(d, ev) })
+		sim.answer(d, machine, answer, ev)
 	})
 }
 
 func (sim *simulation) read(d *daemon, a ReadTopic) {
+	machine := d.machine
 	sim.after(nextCall.delay, func() {
 		if sim.down || d.disconnected {
-			sim.after(nextCall.answerDelay, func() { sim.step(d, ReadFailed{}) })
+			sim.answer(d, machine, nextCall.answerDelay, ReadFailed{})
 			return
 		}
 		from := max(a.From, hosting.Position(sim.history, 0))
@@ -141,7 +152,7 @@
 				ev.Records = append(ev.Records, r)
 			}
 		}
-		sim.after(nextCall.answerDelay, func() { sim.step(d, ev) })
+		sim.answer(d, machine, nextCall.answerDelay, ev)
 	})
 }
 
@@ -282,8 +293,11 @@
 			for _, d := range sim.daemons {
 				sim.setFrozen(d, rapid.IntRange(0, 6).Draw(t, "freeze") == 0)
 				d.disconnected = rapid.IntRange(0, 6).Draw(t, "cut") == 0
-				if rapid.IntRange(0, 12).Draw(t, "stop") == 0 {
+				switch rapid.IntRange(0, 12).Draw(t, "process") {
+				case 0:
 					sim.step(d, Stop{})
+				case 1:
+					sim.restart(d)
 				}
 			}
 			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
@@ -323,6 +337,30 @@
 	}
 }
 
+// Guards against a restarted holder that acts again within the lease duration after
+// another daemon has acted in between.
+func TestRestartedHolderDoesNotAlternate(t *testing.T) {
+	resetFaults()
+	sim := newSimulation(2)
+	sim.run(t, 2*time.Second)
+	sim.step(sim.daemons[0], Stop{})
+	sim.run(t, 200*time.Millisecond)
+	sim.gossip(0, 1)
+	sim.restart(sim.daemons[0])
+	sim.daemons[0].disconnected = true
+	sim.run(t, time.Second)
+	if _, ok := sim.daemons[1].machine.Authority(sim.clock(sim.daemons[1])); !ok {
+		t.Fatal("daemon 1 has no authority after the release")
+	}
+	sim.step(sim.daemons[1], Stop{})
+	sim.run(t, 200*time.Millisecond)
+	sim.daemons[0].disconnected = false
+	sim.run(t, 2*testDuration)
+	if _, ok := sim.daemons[0].machine.Authority(sim.clock(sim.daemons[0])); !ok {
+		t.Fatal("daemon 0 did not regain the authority")
+	}
+}
+
 func resetFaults() {
 	nextCall.delay, nextCall.answerDelay, nextCall.lost = 5*time.Millisecond, 5*time.Millisecond, false
 }
