registry, edge: a restored store does not bring back servers that left

In an older copy of the store, a server that has left since is listed, and one that drains is ready. Daemons that knew better used them again until the store removed the entries. Entries of a new history are now compared, by the start and the sequence number that servers write, with the newest ones known, also of servers that have left; older ones change nothing, here and at the peers.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -151,6 +151,9 @@
 		c.recordFault("history_lost", f.topic.String(), event.F("known_end", hosting.FormatPosition(before)),
 			event.F("end", hosting.FormatPosition(page.End)), event.F("changed", formatInt(int64(len(changed)))),
 			event.F("kept", formatInt(int64(len(kept)))))
+		if id == feedServers && fromStore {
+			c.registry.HistoryLost(now)
+		}
 	}
 	c.applyRecords(now, id, changed, fromStore)
 }
@@ -168,6 +171,12 @@
 	return err != nil || ours.Version > theirs.Version
 }
 
+// keepServer is the replica.Keep of the server topic: a server that has left, or that
+// drains, is not in use again because the store has lost that entry.
+func (c *control) keepServer(_, later hosting.KeyedRecord) bool {
+	return later.Value != nil && c.registry.Outdated(later.Key, later.Value)
+}
+
 // applyRecords puts new records of a topic into effect.
 func (c *control) applyRecords(now time.Time, id feedID, records []hosting.KeyedRecord, fromStore bool) {
 	if len(records) == 0 {
--- a/registry/server_list.go
+++ b/registry/server_list.go
@@ -36,6 +36,21 @@
 	// it could be read again after the last outage.
 	storeLost  bool
 	regainedAt time.Time
+	// versions holds the newest version of each entry, also of removed ones, and
+	// forgotAt the time at which those of long removed ones were last dropped.
+	versions map[string]version
+	forgotAt time.Time
+}
+
+// departedMemory is the time for which the version of a removed entry is remembered.
+// It exceeds the age of the copies that the store may continue from.
+const departedMemory = 10 * time.Minute
+
+// version orders the entries of one ID.
+type version struct {
+	startedMs, sequence int64
+	// removedAt is zero unless the entry was removed.
+	removedAt time.Time
 }
 
 type entry struct {
@@ -58,7 +73,7 @@
 
 // NewServerList returns an empty server list.
 func NewServerList(decode Decode) *ServerList {
-	return &ServerList{decode: decode, entries: map[string]*entry{}, touched: map[string]struct{}{}, held: map[string]struct{}{}}
+	return &ServerList{decode: decode, entries: map[string]*entry{}, touched: map[string]struct{}{}, held: map[string]struct{}{}, versions: map[string]version{}}
 }
 
 // StoreLost reports that the store can't be read.
@@ -71,6 +86,44 @@
 	}
 }
 
+// HistoryLost reports that the store continues from an older copy. Entries that are
+// missing there count as expired during an outage.
+func (l *ServerList) HistoryLost(now time.Time) { l.regainedAt = now }
+
+// Outdated reports whether an entry is older than one that was in use, or than one that
+// was removed. Such an entry is from a copy of the store.
+func (l *ServerList) Outdated(id string, value []byte) bool {
+	known, ok := l.versions[id]
+	if !ok {
+		return false
+	}
+	s, err := l.decode(id, value)
+	switch {
+	case err != nil:
+		return false
+	case s.StartedMs != known.startedMs:
+		return s.StartedMs < known.startedMs
+	case known.removedAt.IsZero():
+		return s.Sequence < known.sequence
+	}
+	return s.Sequence <= known.sequence
+}
+
+// noteRemoval keeps the version of a removed entry for departedMemory.
+func (l *ServerList) noteRemoval(now time.Time, id string) {
+	if v, ok := l.versions[id]; ok && v.removedAt.IsZero() {
+		v.removedAt = now
+		l.versions[id] = v
+	}
+	if now.Sub(l.forgotAt) < departedMemory/2 {
+		return
+	}
+	l.forgotAt = now
+	maps.DeleteFunc(l.versions, func(_ string, v version) bool {
+		return !v.removedAt.IsZero() && now.Sub(v.removedAt) >= departedMemory
+	})
+}
+
 // delaysRemovals reports whether a removal read from the store may be due to an
 // outage of the store.
 func (l *ServerList) delaysRemovals(now time.Time) bool {
@@ -111,6 +164,7 @@
 	delete(l.held, r.Key)
 	defer l.touch(now, r.Key)
 	if r.Value == nil {
+		l.noteRemoval(now, r.Key)
 		if s := old.current(now); hold && s != nil {
 			next.held, next.heldUntil = s, now.Add(RemovalDelay)
 			l.held[r.Key] = struct{}{}
@@ -121,6 +175,7 @@
 	if err != nil {
 		return err
 	}
+	l.versions[r.Key] = version{startedMs: server.StartedMs, sequence: server.Sequence}
 	next.server = &server
 	if old.server != nil && old.server.sameAs(&server) {
 		next.server = old.server
--- a/registry/server_list_test.go
+++ b/registry/server_list_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 	"time"
@@ -63,6 +64,63 @@
 	g.Expect(b.HasDelayedRemovals(back.Add(RemovalDelay + time.Second))).To(BeFalse())
 }
 
+func decodeVersioned(id string, value []byte) (Server, error) {
+	s := Server{ID: id}
+	return s, json.Unmarshal(value, &s)
+}
+
+func encodeVersion(started, sequence int64, draining bool) []byte {
+	value, err := json.Marshal(Server{StartedMs: started, Sequence: sequence, Draining: draining})
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// Guards against entries of an older copy of the store that bring back a server that
+// has left or drains, and against newer entries that count as outdated.
+func TestEntriesOlderThanKnownOnesAreOutdated(t *testing.T) {
+	g := NewWithT(t)
+	l := NewServerList(decodeVersioned)
+	entry := func(id string, value []byte) hosting.KeyedRecord { return hosting.KeyedRecord{Key: id, Value: value} }
+	l.FromStore(start, []hosting.KeyedRecord{
+		entry("left", encodeVersion(5, 1, false)), entry("left", encodeVersion(5, 7, false)), drop(3, "left"),
+		entry("drains", encodeVersion(5, 3, false)), entry("drains", encodeVersion(5, 4, true)),
+		entry("restarted", encodeVersion(9, 1, false)),
+	})
+	l.TakeChanges(start)
+	for id, values := range map[string][][]byte{
+		"left":      {encodeVersion(5, 7, false), encodeVersion(5, 1, true), encodeVersion(4, 9, false)},
+		"drains":    {encodeVersion(5, 3, false)},
+		"restarted": {encodeVersion(8, 50, false)},
+	} {
+		for _, value := range values {
+			g.Expect(l.Outdated(id, value)).To(BeTrue(), "%s %s", id, value)
+		}
+	}
+	for id, value := range map[string][]byte{
+		"left": encodeVersion(5, 8, false), "drains": encodeVersion(5, 4, true), "restarted": encodeVersion(10, 0, false),
+		"unknown": encodeVersion(1, 1, false), "unreadable": []byte("x"),
+	} {
+		g.Expect(l.Outdated(id, value)).To(BeFalse(), id)
+	}
+	l.FromStore(start.Add(departedMemory), []hosting.KeyedRecord{entry("other", encodeVersion(1, 1, false)), drop(9, "other")})
+	g.Expect(l.Outdated("left", encodeVersion(5, 7, false))).To(BeFalse(), "versions of servers that left long ago")
+	g.Expect(l.Outdated("drains", encodeVersion(5, 3, false))).To(BeTrue())
+}
+
+// Guards against live servers that are dropped at once because the store has lost
+// their entries in an outage that this daemon did not notice.
+func TestEntriesLostWithAHistoryAreKeptBriefly(t *testing.T) {
+	g := NewWithT(t)
+	l := NewServerList(decodePlain)
+	l.FromStore(start, []hosting.KeyedRecord{put(0, "a", "1")})
+	l.HistoryLost(start)
+	l.FromStore(start, []hosting.KeyedRecord{drop(2, "a")})
+	g.Expect(addresses(l, start.Add(RemovalDelay-time.Millisecond))).To(Equal([]string{"a=1"}))
+	g.Expect(addresses(l, start.Add(RemovalDelay))).To(BeEmpty())
+}
+
 // Guards against a removal that takes effect late although the store is readable.
 func TestRemovalWithoutOutageIsImmediate(t *testing.T) {
 	g := NewWithT(t)
