edge: daemons write their entries again after the store is restored

The entries of daemons that had started since the copy were gone, and those of restarted ones were replaced by the entries of ended processes, whose certificates the peers then expected. Each daemon now writes its entry once in each new history, and the others keep entries that the store has lost, or whose process is newer, until then.

TestRestoredStoreGetsMemberEntriesAgain failed before (the store has one entry of vm-0), and without keepMember (daemons are forgotten).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -381,7 +381,7 @@
 		feedMembers:    d.Source.MemberTopic,
 		feedQuarantine: d.Source.QuarantineTopic,
 	}
-	keep := map[feedID]replica.Keep{feedConfig: d.control.keepConfig, feedServers: d.control.keepServer}
+	keep := map[feedID]replica.Keep{feedConfig: d.control.keepConfig, feedServers: d.control.keepServer, feedMembers: keepMember}
 	for id, topic := range topics {
 		read := func(page hosting.KeyedPage, reset bool) {
 			d.control.emit(feedPage{feed: feedID(id), page: page, reset: reset})
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -151,8 +151,11 @@
 		c.recordFault("history_lost", f.topic.String(), event.F("known_end", hosting.FormatPosition(before)),
 			event.F("end", hosting.FormatPosition(page.End)), event.F("changed", formatInt(int64(len(changed)))),
 			event.F("kept", formatInt(int64(len(kept)))))
-		if id == feedServers && fromStore {
+		switch {
+		case id == feedServers && fromStore:
 			c.registry.HistoryLost(now)
+		case id == feedMembers:
+			c.announcer.historyLost(page.End)
 		}
 	}
 	c.applyRecords(now, id, changed, fromStore)
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	records []hosting.KeyedRecord
 	first   int64
+	// history is the history of the positions that Put returns.
+	history int64
 	down    bool
 	changed chan struct{}
 }
@@ -57,7 +59,7 @@
 	m.records = append(m.records, r)
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return end, hosting.OutcomeDone, nil
+	return hosting.Position(m.history, end), hosting.OutcomeDone, nil
 }
 
 func (m *memoryTopics) Follow(ctx context.Context, topic hosting.Topic, from int64, wait time.Duration) (hosting.KeyedPage, error) {
--- a/edge/members.go
+++ b/edge/members.go
@@ -7,6 +7,8 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +49,27 @@
 	return e, nil
 }
 
+// startedMs returns the start of the process in Unix milliseconds, or 0 if the
+// incarnation does not name it.
+func (e memberEntry) startedMs() int64 {
+	started, err := strconv.ParseInt(e.Incarnation[strings.LastIndexByte(e.Incarnation, '.')+1:], 36, 64)
+	if err != nil {
+		return 0
+	}
+	return started
+}
+
+// keepMember is the replica.Keep of the member topic. Daemons never delete entries, so
+// that a missing one is lost.
+func keepMember(record, later hosting.KeyedRecord) bool {
+	ours, err := decodeMember(record.Value)
+	if err != nil || later.Value == nil {
+		return err == nil
+	}
+	theirs, err := decodeMember(later.Value)
+	return err != nil || ours.startedMs() > theirs.startedMs()
+}
+
 // memberTable holds the entries of all daemons by VM. It is safe for concurrent
 // use: the control goroutine replaces the map, which is never modified.
 type memberTable struct {
@@ -149,6 +172,19 @@
 	}
 }
 
+// historyLost lets the entry be written again: the store continues from an older copy
+// that ends at a position. Only the control goroutine calls it.
+func (a *announcer) historyLost(end int64) {
+	if a.yielded {
+		return
+	}
+	a.foreign.Store(max(a.foreign.Load(), end-1))
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
 // yield ends the writing of entries that were replaced: during a planned stop the
 // next process of the VM may have started already. Only the control goroutine calls
 // it.
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"context"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -59,3 +62,30 @@
 	sc.control.publish(sc.now)
 	g.Expect(sc.control.servers.Load().server("a")).To(BeNil())
 }
+
+// Guards against daemons that peers forget, or whose certificate they reject, because
+// the store has lost their entries or holds those of earlier processes.
+func TestRestoredStoreGetsMemberEntriesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		sc := newScaleControl(t, 8, 5, 1)
+		topics := newMemoryTopics()
+		sc.announcer = newAnnouncer(topics, hosting.Topic{}, "vm-0", testMember("vm-0.a"), sc.events)
+		done := make(chan struct{})
+		go func() { sc.announcer.run(ctx); close(done) }()
+		sc.apply(feedMembers, memberOf(t, 1, "k2"), memberOf(t, 2, "k1"))
+		time.Sleep(time.Second)
+		older := []hosting.KeyedRecord{memberOf(t, 0, "a"), memberOf(t, 1, "k1"), memberOf(t, 2, "k9")}
+		topics.set(func() { topics.history, topics.records = 1, slices.Clone(older) })
+		sc.restore(feedMembers, older...)
+		time.Sleep(10 * announceRetry)
+		topics.set(func() { g.Expect(topics.records).To(HaveLen(len(older)+1), "one more entry of vm-0") })
+		entries := sc.memberTable.load()
+		g.Expect(entries).To(HaveLen(8), "daemons that the copy lacks")
+		g.Expect(entries["vm-1"].Incarnation).To(Equal("vm-1.k2"))
+		g.Expect(entries["vm-2"].Incarnation).To(Equal("vm-2.k9"))
+		cancel()
+		<-done
+	})
+}
