edge: quarantines that the store has lost are written again

After the store was restored, the quarantines found since the copy were dropped, and the parts crashed engines again until enough crashes had been counted anew. The daemons that read the copy keep them and write them again.

TestRestoredStoreGetsQuarantinesAgain failed before (nothing is written, the part is free).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -381,7 +381,12 @@
 		feedMembers:    d.Source.MemberTopic,
 		feedQuarantine: d.Source.QuarantineTopic,
 	}
-	keep := map[feedID]replica.Keep{feedConfig: d.control.keepConfig, feedServers: d.control.keepServer, feedMembers: keepMember}
+	keep := map[feedID]replica.Keep{
+		feedConfig:     d.control.keepConfig,
+		feedServers:    d.control.keepServer,
+		feedMembers:    keepMember,
+		feedQuarantine: keepQuarantine,
+	}
 	for id, topic := range topics {
 		read := func(page hosting.KeyedPage, reset bool) {
 			d.control.emit(feedPage{feed: feedID(id), page: page, reset: reset})
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -156,6 +156,10 @@
 			c.registry.HistoryLost(now)
 		case id == feedMembers:
 			c.announcer.historyLost(page.End)
+		case id == feedQuarantine && fromStore:
+			for _, r := range kept {
+				c.quarantine.put(hosting.KeyedRecord{Key: r.Key, Value: r.Value})
+			}
 		}
 	}
 	c.applyRecords(now, id, changed, fromStore)
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -397,6 +397,20 @@
 	}
 }
 
+// keepQuarantine is the replica.Keep of the quarantine topic: of two entries the one
+// that ends later counts.
+func keepQuarantine(record, later hosting.KeyedRecord) bool {
+	if record.Value == nil {
+		return false
+	}
+	ours, err := quarantine.DecodeEntry(record.Value)
+	if err != nil || later.Value == nil {
+		return err == nil
+	}
+	theirs, err := quarantine.DecodeEntry(later.Value)
+	return err != nil || ours.UntilMs > theirs.UntilMs
+}
+
 // putQuarantine writes a record until the store has acknowledged it, so that a
 // restart of all daemons does not lose it.
 func (d *Daemon) putQuarantine(ctx context.Context, r hosting.KeyedRecord) {
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/quarantine"
 	"github.com/mimosakeel/mimosakeel/registry"
 )
 
@@ -89,3 +90,24 @@
 		<-done
 	})
 }
+
+// Guards against a part of a prompt that is used again because the store has lost its
+// quarantine.
+func TestRestoredStoreGetsQuarantinesAgain(t *testing.T) {
+	g := NewWithT(t)
+	sc := newScaleControl(t, 1, 0, 1)
+	var written []hosting.KeyedRecord
+	sc.quarantine.put = func(r hosting.KeyedRecord) { written = append(written, r) }
+	quarantineOf := func(part string, left time.Duration) hosting.KeyedRecord {
+		return hosting.KeyedRecord{Key: part, Value: quarantine.Entry{UntilMs: sc.clock.Now().Add(left).UnixMilli()}.Encode()}
+	}
+	lost, extended := quarantineOf("lost", time.Minute), quarantineOf("extended", 2*time.Minute)
+	sc.apply(feedQuarantine, lost, quarantineOf("known", time.Minute), extended)
+	sc.restore(feedQuarantine, quarantineOf("known", time.Minute), quarantineOf("extended", time.Minute))
+	g.Expect(written).To(ConsistOf(
+		HaveField("Value", lost.Value), HaveField("Value", extended.Value),
+	))
+	list := sc.quarantine.guard.list.Load()
+	g.Expect(list.Left(sc.clock.Now(), "lost")).To(BeNumerically(">", 50*time.Second))
+	g.Expect(list.Left(sc.clock.Now(), "extended")).To(BeNumerically(">", 110*time.Second))
+}
