metering, edge: usage windows stay closed when the store has lost the record

A lease holder stores the counts of a closed window before it reports them. When the store loses that record, the next term closes the window again, with the counts that have arrived since, and reports it twice with different counts. The holder now tells eight challengers which windows it has closed and stored. A ledger from an older copy is completed with them; windows that may have been closed without the daemon's knowledge are not reported.

TestLostUsageRecordDoesNotCloseAWindowAgain fails without the change: the holder closes the window with 9 instead of 7 requests.

--- a/edge/control.go
+++ b/edge/control.go
@@ -307,6 +307,7 @@
 		c.addRoleChanges(now, m)
 	case *UsageCounts:
 		c.duties.ledger.Merge(m.Incarnation, m.Windows)
+		c.duties.ledger.NoteClosed(m.Closed)
 	case *Push:
 		c.applyPush(now, ev.from, m)
 	case *CrashReport:
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -37,6 +37,9 @@
 	// usageBackups is the number of challengers that receive the counts in addition
 	// to the lease holder, so that a successor already has them.
 	usageBackups = 2
+	// closedCopies is the number of challengers that learn which windows are closed, in
+	// case the store loses the records.
+	closedCopies = 8
 )
 
 // The events that the duties receive on the control goroutine.
@@ -284,7 +287,8 @@
 		if err != nil || r.Key != usageKey {
 			continue
 		}
-		if err := d.ledger.Load(e.Body); err != nil {
+		copied := e.History != hosting.History(r.Offset)
+		if err := d.ledger.Load(e.Body, copied, d.clock.Now()); err != nil {
 			d.events.Record(event.KindFault, "usage_unreadable", "", event.F("error", err.Error()))
 		}
 	}
@@ -330,10 +334,23 @@
 	if key != usageKey || len(d.submitted) == 0 {
 		return
 	}
-	for _, w := range d.submitted[0] {
-		d.reportable[w] = true
+	var stored []metering.Closed
+	for _, c := range d.ledger.Unreported() {
+		if slices.Contains(d.submitted[0], c.Window) && !d.reportable[c.Window] {
+			d.reportable[c.Window] = true
+			stored = append(stored, c)
+		}
 	}
 	d.submitted = d.submitted[1:]
+	if len(stored) == 0 {
+		return
+	}
+	d.ledger.NoteClosed(stored)
+	for _, vm := range d.highCapacity.Ranks(dutyName, closedCopies) {
+		if vm != d.vm {
+			d.send(vm, &UsageCounts{Incarnation: d.incarnation, Closed: stored})
+		}
+	}
 }
 
 // report sends the first closed window that is stored but not reported yet.
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -100,7 +100,7 @@
 	h := newDutyHarness(t, newMemoryTopics(), 300*time.Millisecond, settings)
 	// The ledger of a successor starts at the windows that are not reported yet.
 	ended := metering.WindowAt(time.Now().Add(-2*time.Second), time.Second)
-	g.Expect(h.ledger.Load([]byte("{\"closed\":[{\"window\":" + formatInt(int64(ended-1)) + ",\"counts\":{},\"reported\":true}]}"))).To(Succeed())
+	g.Expect(h.ledger.Load([]byte("{\"closed\":[{\"window\":"+formatInt(int64(ended-1))+",\"counts\":{},\"reported\":true}]}"), false, time.Now())).To(Succeed())
 	var gained time.Time
 	delivered := false
 	h.run(8*time.Second, func() {
@@ -172,3 +172,46 @@
 	f := &fleetControl{events: events, services: map[string]*serviceFleet{"llm": {roles: map[string]*provision.Roles{}}}}
 	f.handle(time.Now(), roleOrdered{service: "llm", pool: "pool//llm/1", outcome: hosting.OutcomeRefused})
 }
+
+// Guards against a window that is reported twice with different counts because the
+// store has lost the record that it was closed.
+func TestLostUsageRecordDoesNotCloseAWindowAgain(t *testing.T) {
+	g := NewWithT(t)
+	settings := UsageSettings{Window: time.Second, Grace: 0, Due: 10 * time.Second}
+	holder := newDutyHarness(t, newMemoryTopics(), time.Second, settings)
+	successor := newDutyHarness(t, newMemoryTopics(), time.Second, settings)
+	newcomer := newDutyHarness(t, newMemoryTopics(), time.Second, settings)
+	holder.send = func(vm string, m *UsageCounts) {
+		if vm == "vm-2" {
+			successor.ledger.Merge(m.Incarnation, m.Windows)
+			successor.ledger.NoteClosed(m.Closed)
+		}
+	}
+	two := member.NewSet([]member.Candidate{{ID: "vm-1"}, {ID: "vm-2"}})
+	holder.updateRank(two, two)
+	first := metering.Window(1000)
+	holder.ledger.Begin((first - 1).Start(time.Second))
+	holder.ledger.Close(first.Start(time.Second))
+	holder.ledger.Confirm(first - 1)
+	older := holder.ledger.Encode()
+	holder.ledger.Merge("vm-3.a", map[metering.Window]metering.Counts{first: {"acme": 7}})
+	holder.ledger.Close(first.End(time.Second))
+	holder.submit()
+	holder.recordAppended(usageKey)
+
+	now := (first + 2).Start(time.Second)
+	for name, h := range map[string]*dutyHarness{"holder": holder, "successor": successor, "newcomer": newcomer} {
+		h.ledger.Merge("vm-3.a", map[metering.Window]metering.Counts{first: {"acme": 9}, first + 1: {"acme": 1}})
+		g.Expect(h.ledger.Load(older, true, now)).To(Succeed())
+		h.ledger.Close(now)
+		closed := map[metering.Window]metering.Counts{}
+		for _, c := range h.ledger.Unreported() {
+			closed[c.Window] = c.Counts
+		}
+		if name == "newcomer" {
+			g.Expect(closed).To(BeEmpty(), "windows that may have been reported already")
+			continue
+		}
+		g.Expect(closed).To(Equal(map[metering.Window]metering.Counts{first: {"acme": 7}, first + 1: {"acme": 1}}), name)
+	}
+}
--- a/edge/message.go
+++ b/edge/message.go
@@ -46,6 +46,8 @@
 type UsageCounts struct {
 	Incarnation string                              `cbor:"1,keyasint"`
 	Windows     map[metering.Window]metering.Counts `cbor:"2,keyasint"`
+	// Closed holds windows that the sender has closed and stored as lease holder.
+	Closed []metering.Closed `cbor:"3,keyasint,omitempty"`
 }
 
 // RolesChanging announces the engines that are about to change their role, so
--- a/metering/ledger.go
+++ b/metering/ledger.go
@@ -22,9 +22,9 @@
 
 // Closed is a window whose counts are final.
 type Closed struct {
-	Window   Window `json:"window"`
-	Counts   Counts `json:"counts"`
-	Reported bool   `json:"reported,omitempty"`
+	Window   Window `json:"window" cbor:"1,keyasint"`
+	Counts   Counts `json:"counts" cbor:"2,keyasint"`
+	Reported bool   `json:"reported,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 const (
@@ -47,6 +47,9 @@
 	// repeated and reordered deliveries have no effect.
 	counts map[string]map[Window]Counts
 	closed []Closed
+	// noted holds the windows that this or another holder has closed and stored since
+	// this daemon learns of them, by window. They remain closed if the store loses them.
+	noted map[Window]Closed
 	// nextToClose is the next window to close, or 0 if it isn't known yet.
 	nextToClose Window
 	// lastDraft is the newest window whose counts were stored as a draft.
@@ -62,7 +65,14 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(cfg Config) *Ledger {
-	return &Ledger{cfg: cfg, counts: map[string]map[Window]Counts{}}
+	return &Ledger{cfg: cfg, counts: map[string]map[Window]Counts{}, noted: map[Window]Closed{}}
+}
+
+// NoteClosed records windows that a holder has closed and stored.
+func (l *Ledger) NoteClosed(closed []Closed) {
+	for _, c := range closed {
+		l.noted[c.Window] = c
+	}
 }
 
 // Merge adds the counts of a process. Of two counts for the same window and
@@ -84,8 +94,11 @@
 }
 
 // Load decodes the stored ledger of the previous holder, replaces the closed
-// windows and merges the counts of the open ones.
-func (l *Ledger) Load(body []byte) error {
+// windows and merges the counts of the open ones. copied is set if the ledger was
+// stored before the store continued from an older copy. Windows that have been closed
+// since remain so; of those that have ended by the given true time, the ones that may
+// have been closed without this daemon's knowledge are skipped.
+func (l *Ledger) Load(body []byte, copied bool, now time.Time) error {
 	var s storedLedger
 	if err := json.Unmarshal(body, &s); err != nil {
 		return eris.Wrap(err, "decode usage ledger")
@@ -98,9 +111,25 @@
 	for process, windows := range s.Open {
 		l.Merge(process, windows)
 	}
+	if copied {
+		l.restoreClosed(now)
+	}
 	return nil
 }
 
+// restoreClosed adds the noted windows to the closed ones.
+func (l *Ledger) restoreClosed(now time.Time) {
+	knownFrom := WindowAt(now, l.cfg.Length)
+	for _, w := range slices.Sorted(maps.Keys(l.noted)) {
+		knownFrom = min(knownFrom, w)
+		if !slices.ContainsFunc(l.closed, func(c Closed) bool { return c.Window == w }) {
+			l.closed = append(l.closed, l.noted[w])
+		}
+		l.nextToClose = max(l.nextToClose, w+1)
+	}
+	l.nextToClose = max(l.nextToClose, knownFrom)
+}
+
 // Encode returns the stored form of the ledger. It omits the counts of open
 // windows if the result would exceed maxStored.
 func (l *Ledger) Encode() []byte {
@@ -183,6 +212,7 @@
 
 func (l *Ledger) prune(current Window) {
 	l.closed = slices.DeleteFunc(l.closed, func(c Closed) bool { return c.Window < current-keptWindows })
+	maps.DeleteFunc(l.noted, func(w Window, _ Closed) bool { return w < current-keptWindows })
 	for process, windows := range l.counts {
 		maps.DeleteFunc(windows, func(w Window, _ Counts) bool { return w < current-keptWindows })
 		if len(windows) == 0 {
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -93,7 +93,7 @@
 
 	second := NewLedger(config)
 	second.Merge("p1", map[Window]Counts{base: {"acme": 5}})
-	g.Expect(second.Load(first.Encode())).To(Succeed())
+	g.Expect(second.Load(first.Encode(), false, time.Time{})).To(Succeed())
 	second.Close(base.End(length).Add(config.Grace))
 	g.Expect(second.Unreported()).To(Equal([]Closed{{Window: base, Counts: Counts{"acme": 3}}}))
 	second.Confirm(base)
@@ -114,7 +114,7 @@
 	g.Expect(first.NeedsDraft(base.End(length).Add(draftDelay))).To(BeFalse(), "only one draft per window")
 
 	second := NewLedger(config)
-	g.Expect(second.Load(first.Encode())).To(Succeed())
+	g.Expect(second.Load(first.Encode(), false, time.Time{})).To(Succeed())
 	second.Begin(base.Start(length))
 	// A process that is still running delivers its counts again.
 	second.Merge("p2", map[Window]Counts{base: {"acme": 5}})
