edge: pushes do not split records of the same offset

Keys that a topic lost are deleted at the end of the topic, all at one offset. A push that was cut between two of them told its receiver that it was complete up to that offset, so that the receiver kept the other keys: servers that had left. A restored store makes many such records at once.

TestCutPushesHoldAllRecordsOfAnOffset failed before (2,509 of 5,001 records).

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -324,14 +324,14 @@
 	c.send(to, out)
 }
 
-// cutRecords returns the first records that fit into a push, at least one. They
-// are complete up to the last one, because they are in the order of their
+// cutRecords returns the first records that fit into a push, at least those of one
+// offset. They are complete up to the last one, because they are in the order of their
 // offsets.
 func cutRecords(records []hosting.KeyedRecord, end int64) FeedRecords {
 	size := 0
 	for i, r := range records {
 		size += len(r.Key) + len(r.Value)
-		if size > pushBytes && i > 0 {
+		if size > pushBytes && i > 0 && r.Offset > records[i-1].Offset {
 			return FeedRecords{Records: records[:i], End: records[i-1].Offset + 1}
 		}
 	}
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -111,3 +112,25 @@
 	g.Expect(list.Left(sc.clock.Now(), "lost")).To(BeNumerically(">", 50*time.Second))
 	g.Expect(list.Left(sc.clock.Now(), "extended")).To(BeNumerically(">", 110*time.Second))
 }
+
+// Guards against pushes that split records of the same offset, of which a peer then
+// lacks some without asking for them: keys that a topic lost get the same offset.
+func TestCutPushesHoldAllRecordsOfAnOffset(t *testing.T) {
+	g := NewWithT(t)
+	var records []hosting.KeyedRecord
+	for i := range 5000 {
+		records = append(records, hosting.KeyedRecord{Key: fmt.Sprintf("key-%04d-%0200d", i, i), Offset: 10 + int64(i/2500)})
+	}
+	records = append(records, hosting.KeyedRecord{Key: "last", Value: []byte("v"), Offset: 12})
+	received := map[string]bool{}
+	for end := hosting.NoOffset; end < 13; {
+		from := slices.IndexFunc(records, func(r hosting.KeyedRecord) bool { return r.Offset >= end })
+		push := cutRecords(records[from:], 13)
+		g.Expect(push.End).To(BeNumerically(">", end))
+		for _, r := range push.Records {
+			received[r.Key] = true
+		}
+		end = push.End
+	}
+	g.Expect(received).To(HaveLen(len(records)))
+}
