edge: a push of all feeds fits into a frame

Each feed of a push could take half of a frame, and all four are sent at once when a new history begins or a daemon starts. A frame that is too large is not sent, so that the peer asked again in vain and read the store itself. The feeds of a push now share the limit.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -314,28 +314,36 @@
 func (c *control) answerPull(now time.Time, to string, m *Pull) {
 	states := c.feedStates(now)
 	out := &Push{Feeds: make([]FeedRecords, len(c.feeds))}
+	used := 0
 	for id, f := range c.feeds {
 		out.Feeds[id].End = hosting.NoOffset
-		if id < len(m.Ends) && m.Ends[id] < states[id].End {
-			out.Feeds[id] = cutRecords(f.replica.Since(m.Ends[id]), states[id].End)
-			c.notePeerEnd(to, id, out.Feeds[id].End)
+		if id >= len(m.Ends) || m.Ends[id] >= states[id].End || used > pushBytes {
+			continue
+		}
+		records, size := cutRecords(f.replica.Since(m.Ends[id]), states[id].End, pushBytes-used)
+		if used > 0 && used+size > pushBytes {
+			continue // The peer asks again for the feeds that it still lacks.
 		}
+		used += size
+		out.Feeds[id] = records
+		c.notePeerEnd(to, id, records.End)
 	}
 	c.send(to, out)
 }
 
-// cutRecords returns the first records that fit into a push, at least those of one
-// offset. They are complete up to the last one, because they are in the order of their
+// cutRecords returns the first records whose keys and values have at most limit bytes,
+// at least those of one offset, and their size. They are complete up to the last one, because they are in the order of their
 // offsets.
-func cutRecords(records []hosting.KeyedRecord, end int64) FeedRecords {
+func cutRecords(records []hosting.KeyedRecord, end int64, limit int) (FeedRecords, int) {
 	size := 0
 	for i, r := range records {
-		size += len(r.Key) + len(r.Value)
-		if size > pushBytes && i > 0 && r.Offset > records[i-1].Offset {
-			return FeedRecords{Records: records[:i], End: records[i-1].Offset + 1}
+		n := len(r.Key) + len(r.Value)
+		if size+n > limit && i > 0 && r.Offset > records[i-1].Offset {
+			return FeedRecords{Records: records[:i], End: records[i-1].Offset + 1}, size
 		}
+		size += n
 	}
-	return FeedRecords{Records: records, End: end, Whole: true}
+	return FeedRecords{Records: records, End: end, Whole: true}, size
 }
 
 // applyPush applies the records of a push.
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -8,9 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/quarantine"
 	"github.com/mimosakeel/mimosakeel/registry"
 )
@@ -125,7 +127,7 @@
 	received := map[string]bool{}
 	for end := hosting.NoOffset; end < 13; {
 		from := slices.IndexFunc(records, func(r hosting.KeyedRecord) bool { return r.Offset >= end })
-		push := cutRecords(records[from:], 13)
+		push, _ := cutRecords(records[from:], 13, pushBytes)
 		g.Expect(push.End).To(BeNumerically(">", end))
 		for _, r := range push.Records {
 			received[r.Key] = true
@@ -134,3 +136,37 @@
 	}
 	g.Expect(received).To(HaveLen(len(records)))
 }
+
+// Guards against a push of several long feeds that exceeds a frame, so that the peer
+// gets none of them. All feeds are sent whole when a new history begins.
+func TestPushOfAllFeedsFitsIntoAFrame(t *testing.T) {
+	g := NewWithT(t)
+	sc := newScaleControl(t, 300, 2900, 3000)
+	var push *Push
+	sc.send = func(_ string, m peer.Message) { push = m.(*Push) }
+	known := map[feedID]int64{}
+	for range 10 {
+		pull := &Pull{Ends: make([]int64, feedCount)}
+		for id := range pull.Ends {
+			end, ok := known[feedID(id)]
+			if !ok {
+				end = hosting.NoOffset
+			}
+			pull.Ends[id] = end
+		}
+		sc.answerPull(sc.now, "vm-1", pull)
+		encoded, err := cbor.Marshal(push)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(encoded)).To(BeNumerically("<", peer.MaxFrameBytes))
+		for id, f := range push.Feeds {
+			if f.End != hosting.NoOffset {
+				known[feedID(id)] = f.End
+			}
+		}
+	}
+	for id, f := range sc.feeds {
+		if f.replica.End() != hosting.NoOffset {
+			g.Expect(known[feedID(id)]).To(Equal(f.replica.End()), f.topic.String())
+		}
+	}
+}
