edge: the base counts of a fleet survive a store that has lost them

The first number of engines of a service is kept in the store. After its loss the next term took the present number for it, which the fleet had changed already. A holder keeps the counts that it knows and stores them again.

TestLostBaseCountsAreStoredAgain failed before (llm is missing).

--- a/authority/machine.go
+++ b/authority/machine.go
@@ -98,6 +98,15 @@
 	m.queue = append(m.queue, submission{key: key, body: body})
 }
 
+// Queued returns the keys of the queued records.
+func (m *Machine) Queued() []string {
+	var out []string
+	for _, s := range m.queue {
+		out = append(out, s.key)
+	}
+	return out
+}
+
 // Step handles one event and returns the actions that the caller must carry out.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
 	var actions []Action
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math"
 	"time"
 
@@ -118,19 +119,32 @@
 func (f *fleetControl) gained(_ time.Time, _ int64, records []hosting.KeyedRecord) {
 	clear(f.services)
 	clear(f.observed)
-	clear(f.baseCounts)
+	stored := map[string]int{}
 	for _, r := range records {
 		e, err := authority.Decode(r.Value)
 		if err != nil || r.Key != fleetKey {
 			continue
 		}
-		if err := json.Unmarshal(e.Body, &f.baseCounts); err != nil {
+		if err := json.Unmarshal(e.Body, &stored); err != nil {
 			f.events.Record(event.KindFault, "fleet_unreadable", "", event.F("error", err.Error()))
 		}
 	}
+	// The store may have lost counts of an earlier term.
+	maps.Copy(f.baseCounts, stored)
+	if len(f.baseCounts) > len(stored) {
+		f.storeBaseCounts()
+	}
 	f.nextDecision = time.Time{}
 }
 
+func (f *fleetControl) storeBaseCounts() {
+	body, err := json.Marshal(f.baseCounts)
+	if err != nil {
+		panic(err) // Plain strings and numbers always have an encoding.
+	}
+	f.duties.machine.Submit(fleetKey, body)
+}
+
 func (f *fleetControl) lost() { clear(f.services) }
 
 func (f *fleetControl) tick(now time.Time, term int64) {
@@ -212,11 +226,7 @@
 		return 0, false
 	}
 	f.baseCounts[service] = engines
-	body, err := json.Marshal(f.baseCounts)
-	if err != nil {
-		panic(err) // Plain strings and numbers always have an encoding.
-	}
-	f.duties.machine.Submit(fleetKey, body)
+	f.storeBaseCounts()
 	f.events.Record(event.KindOrder, "fleet_base", service, event.F("engines", formatInt(int64(engines))))
 	return engines, true
 }
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosakeel/mimosakeel/authority"
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/quarantine"
@@ -170,3 +172,23 @@
 		}
 	}
 }
+
+// Guards against a fleet that takes its present number of engines for the operators'
+// estimate because the store has lost the stored one.
+func TestLostBaseCountsAreStoredAgain(t *testing.T) {
+	g := NewWithT(t)
+	h := newDutyHarness(t, newMemoryTopics(), time.Second, UsageSettings{Window: time.Second})
+	f := &fleetControl{duties: h.duties, events: h.events, services: map[string]*serviceFleet{}, baseCounts: map[string]int{}, observed: map[string]observedCount{}}
+	stored := func(counts string) []hosting.KeyedRecord {
+		value, err := json.Marshal(authority.Envelope{Body: json.RawMessage(counts)})
+		g.Expect(err).NotTo(HaveOccurred())
+		return []hosting.KeyedRecord{{Key: fleetKey, Value: value}}
+	}
+	f.gained(time.Now(), 1, stored(`{"llm":9,"other":4}`))
+	f.gained(time.Now(), 2, stored(`{"other":5}`))
+	g.Expect(f.baseCounts).To(Equal(map[string]int{"llm": 9, "other": 5}))
+	g.Expect(h.machine.Queued()).To(ConsistOf(fleetKey))
+	f.gained(time.Now(), 3, stored(`{"llm":8,"other":5}`))
+	g.Expect(f.baseCounts).To(Equal(map[string]int{"llm": 8, "other": 5}))
+	g.Expect(h.machine.Queued()).To(HaveLen(1))
+}
