dispatch: log which failed requests have the same content

Lines could not tell a request that a client repeats from another one of the same route, so that they neither confirm nor rule out that one content crashes servers. The field content is a hash of customer, method, host, target and body.

--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -99,21 +99,22 @@
 		event.F("down", strconv.FormatBool(failed.Down)), event.F("sent", strconv.Itoa(c.sent)),
 		event.F("of", strconv.Itoa(c.request.Route.MaxAttempts)), event.F("events", strconv.Itoa(c.times.events)),
 	}
-	c.Events.Record(event.KindRequest, "retried", c.request.ID, append(fields, c.partsFields()...)...)
+	c.Events.Record(event.KindRequest, "retried", c.request.ID, append(fields, c.contentFields()...)...)
 }
 
-// partsFields returns a log field with the IDs of the parts of the prompt that
-// other requests may share; nil if there are none.
-func (c *call) partsFields() []event.Field {
+// contentFields returns log fields that show which requests are alike: the request's
+// fingerprint, and the IDs of the parts of its prompt that other requests may share.
+func (c *call) contentFields() []event.Field {
+	out := []event.Field{event.F("content", c.request.Fingerprint())}
 	shared := c.request.Prompt.SharedParts()
 	if len(shared) == 0 {
-		return nil
+		return out
 	}
 	ids := make([]string, len(shared))
 	for i, part := range shared {
 		ids[i] = part.ID
 	}
-	return []event.Field{event.F("parts", strings.Join(ids, ","))}
+	return append(out, event.F("parts", strings.Join(ids, ",")))
 }
 
 // logServed logs how a backend server answered the request.
@@ -171,7 +172,7 @@
 	}
 	if f.Cause != nil {
 		fields = append(fields, event.F("server", f.Cause.server()), event.F("cause", f.Cause.Error()))
-		fields = append(fields, c.partsFields()...)
+		fields = append(fields, c.contentFields()...)
 	}
 	c.Events.Record(event.KindRequest, "failed", c.request.ID, append(fields, f.Inputs...)...)
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -6,9 +6,13 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/event"
@@ -74,6 +78,19 @@
 	LastEvent string
 }
 
+// Fingerprint identifies the content of the request: its customer, method, target and
+// body. Clients that repeat a request send the same content under another ID.
+func (r *Request) Fingerprint() string {
+	h := xxhash.New()
+	var length [8]byte
+	for _, field := range [][]byte{[]byte(r.Customer), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = h.Write(length[:]) // A hash never fails.
+		_, _ = h.Write(field)
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
 // Answer sends the answer to the client. Its methods are called by one goroutine.
 type Answer interface {
 	// Whole sends a complete answer.
