quarantine, edge: requests that crash servers are not sent again

Cause: a query of death. Quarantines compared the shared parts of prompts, which a request to a plain service does not have, so that nothing was reported; each repeat of the client began anew.

Change: a whole request, by customer, method, host, target and body, is a suspect like a part of a prompt. Three crashes suffice (quarantine.request_crashes), since only repeats of it are refused, and each counts, also those of attempts that follow at once; nine are needed if it was served shortly before, and crashes before it was last served do not count. Its parts remain suspect, in case one of them is the cause.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	d.Budget.Arrived(r.Service.Name)
-	c := &call{Dispatcher: d, request: r, answer: answer, lastEventID: r.LastEvent}
+	c := &call{Dispatcher: d, request: r, content: r.Content(), answer: answer, lastEventID: r.LastEvent}
 	for {
 		switch out := c.attempt(ctx); {
 		case out.answered:
@@ -53,6 +53,7 @@
 type call struct {
 	*Dispatcher
 	request *Request
+	content Content
 	answer  Answer
 	// avoid holds the IDs of the servers on which attempts failed.
 	avoid []string
@@ -129,7 +130,7 @@
 		result.Failed, result.Down = failed.Server, failed.Down
 		c.avoid = append(c.avoid, failed.Server.ID)
 		if failed.Lost {
-			c.Quarantine.Lost(failed.Server, c.request.Prompt, c.flowed())
+			c.Quarantine.Lost(failed.Server, c.content, c.flowed())
 		}
 	}
 	c.Scheduler.Done(place, result)
@@ -203,11 +204,11 @@
 // quarantined returns the error of a request that must not be sent to a server
 // because of its content, or nil.
 func (c *call) quarantined() *AttemptError {
-	left, part := c.Quarantine.Left(c.request.Prompt)
+	left, what := c.Quarantine.Left(c.content)
 	if left <= 0 {
 		return nil
 	}
-	return &AttemptError{Run: backend.RunNever, Reason: reasonQuarantined, RetryAfter: left, Err: eris.Errorf("part %s crashes servers", part)}
+	return &AttemptError{Run: backend.RunNever, Reason: reasonQuarantined, RetryAfter: left, Err: eris.Errorf("%s crashes servers", what)}
 }
 
 const (
@@ -376,7 +377,7 @@
 	if err := c.answer.Finish(); err != nil {
 		return clientWriteError(err)
 	}
-	c.Quarantine.Served(c.request.Prompt)
+	c.Quarantine.Served(c.content)
 	c.logServed(place, status)
 	return nil
 }
@@ -421,6 +422,6 @@
 	if failed {
 		return &AttemptError{Run: backend.RunDone, Reason: reasonAnswered, Sent: true}
 	}
-	c.Quarantine.Served(c.request.Prompt)
+	c.Quarantine.Served(c.content)
 	return nil
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -53,9 +53,9 @@
 // guardFake implements Quarantine.
 type guardFake fakes
 
-func (f *guardFake) Left(p *Prompt) (time.Duration, string) {
+func (f *guardFake) Left(c Content) (time.Duration, string) {
 	f.left++
-	for _, part := range p.SharedParts() {
+	for _, part := range c.Parts {
 		if part.ID == "bad" && f.left > f.quarantinedAfter {
 			return time.Minute, part.ID
 		}
@@ -63,9 +63,9 @@
 	return 0, ""
 }
 
-func (f *guardFake) Served(*Prompt) { f.served++ }
+func (f *guardFake) Served(Content) { f.served++ }
 
-func (f *guardFake) Lost(s *registry.Server, _ *Prompt, flowed time.Duration) {
+func (f *guardFake) Lost(s *registry.Server, _ Content, flowed time.Duration) {
 	f.lost = append(f.lost, s.ID)
 	f.flowed = append(f.flowed, flowed > 0)
 }
--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -105,13 +105,12 @@
 // contentFields returns log fields that show which requests are alike: the request's
 // fingerprint, and the IDs of the parts of its prompt that other requests may share.
 func (c *call) contentFields() []event.Field {
-	out := []event.Field{event.F("content", c.request.Fingerprint())}
-	shared := c.request.Prompt.SharedParts()
-	if len(shared) == 0 {
+	out := []event.Field{event.F("content", c.content.Fingerprint)}
+	if len(c.content.Parts) == 0 {
 		return out
 	}
-	ids := make([]string, len(shared))
-	for i, part := range shared {
+	ids := make([]string, len(c.content.Parts))
+	for i, part := range c.content.Parts {
 		ids[i] = part.ID
 	}
 	return append(out, event.F("parts", strings.Join(ids, ",")))
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -78,9 +78,21 @@
 	LastEvent string
 }
 
-// Fingerprint identifies the content of the request: its customer, method, target and
-// body. Clients that repeat a request send the same content under another ID.
-func (r *Request) Fingerprint() string {
+// Content is what requests are compared by, to find those that crash servers.
+type Content struct {
+	// Fingerprint identifies the whole request by its customer, method, host, target and
+	// body. Clients that repeat a request send the same content under another ID.
+	Fingerprint string
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []Part
+}
+
+// Content returns the content of the request.
+func (r *Request) Content() Content {
+	return Content{Fingerprint: r.fingerprint(), Parts: r.Prompt.SharedParts()}
+}
+
+func (r *Request) fingerprint() string {
 	h := xxhash.New()
 	var length [8]byte
 	for _, field := range [][]byte{[]byte(r.Customer), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body} {
@@ -285,12 +297,12 @@
 
 // Quarantine withholds requests whose content crashes backend servers.
 type Quarantine interface {
-	// Left returns the time for which requests that share a part with the prompt are
-	// not sent to servers, and that part; 0 if they are sent. p may be nil.
-	Left(p *Prompt) (left time.Duration, part string)
+	// Left returns the time for which requests that share some content are not sent to
+	// servers, and the name of that content for logs; 0 if they are sent.
+	Left(c Content) (left time.Duration, what string)
 	// Served records that a server answered a request completely.
-	Served(p *Prompt)
+	Served(c Content)
 	// Lost records that the connection to a server broke while it had a request.
 	// flowed is the time since the answer's first event; 0 if there was none.
-	Lost(server *registry.Server, p *Prompt, flowed time.Duration)
+	Lost(server *registry.Server, c Content, flowed time.Duration)
 }
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -51,9 +51,15 @@
 
 var crashReports = metrics.NewCounter("mimosakeel_edge_crash_reports_total")
 
+// requestPrefix begins the keys of whole requests; partKey uses it for no part.
+const requestPrefix = "request:"
+
+// requestKey identifies a whole request by its fingerprint.
+func requestKey(fingerprint string) string { return requestPrefix + fingerprint }
+
 // partKey identifies a part of a prompt, whatever the rest of the prompt holds.
 func partKey(id string) string {
-	if len(id) <= maxPartBytes {
+	if len(id) <= maxPartBytes && !strings.HasPrefix(id, requestPrefix) {
 		return id
 	}
 	return "#" + strconv.FormatUint(xxhash.Sum64String(id), 16)
@@ -63,7 +69,9 @@
 // is safe for concurrent use.
 type contentGuard struct {
 	served *quarantine.Served
-	list   atomic.Pointer[quarantine.List]
+	// servedRequests is apart from served, because nearly every request adds an entry.
+	servedRequests *quarantine.Served
+	list           atomic.Pointer[quarantine.List]
 	// wallNow returns the time that all daemons agree on.
 	wallNow func() time.Time
 	dial    backend.DialFunc
@@ -83,42 +91,54 @@
 }
 
 func newContentGuard(wallNow func() time.Time) *contentGuard {
-	return &contentGuard{served: quarantine.NewServed(), wallNow: wallNow, checks: map[string]*crashCheck{}}
+	return &contentGuard{served: quarantine.NewServed(), servedRequests: quarantine.NewServed(), wallNow: wallNow, checks: map[string]*crashCheck{}}
 }
 
 // Left implements dispatch.Quarantine.
-func (q *contentGuard) Left(p *dispatch.Prompt) (time.Duration, string) {
+func (q *contentGuard) Left(c dispatch.Content) (time.Duration, string) {
 	list := q.list.Load()
 	if list.Len() == 0 {
 		return 0, ""
 	}
 	now := q.wallNow()
-	for _, part := range p.SharedParts() {
+	for _, part := range c.Parts {
 		if left := list.Left(now, partKey(part.ID)); left > 0 {
-			return left, part.ID
+			return left, "part " + part.ID
 		}
 	}
-	return 0, ""
+	return list.Left(now, requestKey(c.Fingerprint)), "content " + c.Fingerprint
 }
 
 // Served implements dispatch.Quarantine.
-func (q *contentGuard) Served(p *dispatch.Prompt) {
+func (q *contentGuard) Served(c dispatch.Content) {
 	now := time.Now()
-	for _, part := range p.SharedParts() {
+	for _, part := range c.Parts {
 		q.served.Add(now, partKey(part.ID))
 	}
+	q.servedRequests.Add(now, requestKey(c.Fingerprint))
+}
+
+// lastServed returns when a part or a whole request was last served here, or the zero
+// time if that isn't known.
+func (q *contentGuard) lastServed(now time.Time, key string) time.Time {
+	if strings.HasPrefix(key, requestPrefix) {
+		return q.servedRequests.Last(now, key)
+	}
+	return q.served.Last(now, key)
 }
 
 // Lost implements dispatch.Quarantine. A broken connection alone does not show that
 // the server has ended: it is reported if the server refuses new connections too.
-func (q *contentGuard) Lost(server *registry.Server, p *dispatch.Prompt, flowed time.Duration) {
-	var suspects []quarantine.Suspect
-	for depth, part := range p.SharedParts() {
-		suspects = append(suspects, quarantine.Suspect{Part: partKey(part.ID), Depth: depth, Flowing: flowed >= flowingAfter})
-	}
-	if len(suspects) == 0 || server.Draining {
+func (q *contentGuard) Lost(server *registry.Server, c dispatch.Content, flowed time.Duration) {
+	if server.Draining {
 		return
 	}
+	flowing := flowed >= flowingAfter
+	var suspects []quarantine.Suspect
+	for depth, part := range c.Parts {
+		suspects = append(suspects, quarantine.Suspect{Part: partKey(part.ID), Depth: depth, Flowing: flowing})
+	}
+	suspects = append(suspects, quarantine.Suspect{Part: requestKey(c.Fingerprint), Depth: len(c.Parts), Flowing: flowing, Request: true})
 	run := server.ID + "/" + formatInt(server.StartedMs)
 	if q.lost(server.Addr, run, suspects) {
 		q.report(&CrashReport{Server: run, Suspects: suspects})
@@ -213,7 +233,7 @@
 }
 
 func newQuarantineControl(c *control, s QuarantineSettings, guard *contentGuard) *quarantineControl {
-	return &quarantineControl{control: c, settings: s, guard: guard, detector: quarantine.NewDetector(s.Crashes), put: func(hosting.KeyedRecord) {}}
+	return &quarantineControl{control: c, settings: s, guard: guard, detector: quarantine.NewDetector(s.Crashes, s.RequestCrashes), put: func(hosting.KeyedRecord) {}}
 }
 
 // collectors returns the VMs of the daemons that collect crash reports.
@@ -304,7 +324,7 @@
 func (q *quarantineControl) answerInquiry(now time.Time, from string, m *ServedInquiry) {
 	out := &PartsServed{Ages: map[string]time.Duration{}}
 	for _, part := range m.Parts {
-		if at := q.guard.served.Last(now, part); !at.IsZero() {
+		if at := q.guard.lastServed(now, part); !at.IsZero() {
 			out.Ages[part] = now.Sub(at)
 		}
 	}
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -24,12 +24,13 @@
 	"github.com/mimosakeel/mimosakeel/schedule"
 )
 
-func promptOf(parts ...string) *dispatch.Prompt {
+// contentOf returns the content of a request whose prompt has shared parts.
+func contentOf(parts ...string) dispatch.Content {
 	p := &dispatch.Prompt{}
 	for _, id := range append(parts, "own") {
 		p.Parts = append(p.Parts, dispatch.Part{ID: id})
 	}
-	return p
+	return dispatch.Content{Fingerprint: strings.Join(parts, "+"), Parts: p.SharedParts()}
 }
 
 // Guards against servers that count as crashed although only connections broke, and
@@ -65,18 +66,21 @@
 					defer mu.Unlock()
 					reports = append(reports, m)
 				}
-				guard.Lost(&c.server, promptOf("a"), time.Second)
-				guard.Lost(&c.server, promptOf("a", "b"), 0)
-				guard.Lost(&c.server, nil, 0)
+				guard.Lost(&c.server, contentOf("a"), time.Second)
+				guard.Lost(&c.server, contentOf("a", "b"), 0)
+				guard.Lost(&c.server, contentOf(), 0)
 				time.Sleep(2 * crashCheckDelay)
-				guard.Lost(&c.server, promptOf("late"), 0)
+				guard.Lost(&c.server, contentOf("late"), 0)
 				time.Sleep(2 * crashCheckMemory)
 				mu.Lock()
 				defer mu.Unlock()
 				g.Expect(reports).To(HaveLen(c.reports))
 				if c.reports > 0 {
-					g.Expect(reports[0]).To(Equal(&CrashReport{Server: "i-1/7", Suspects: []quarantine.Suspect{{Part: "a"}, {Part: "b", Depth: 1}}}))
-					g.Expect(reports[1].Suspects).To(Equal([]quarantine.Suspect{{Part: "late"}}))
+					g.Expect(reports[0]).To(Equal(&CrashReport{Server: "i-1/7", Suspects: []quarantine.Suspect{
+						{Part: "a"}, {Part: "request:a", Depth: 1, Flowing: true, Request: true},
+						{Part: "b", Depth: 1}, {Part: "request:a+b", Depth: 2, Request: true}, {Part: "request:", Request: true},
+					}}))
+					g.Expect(reports[1].Suspects).To(Equal([]quarantine.Suspect{{Part: "late"}, {Part: "request:late", Depth: 1, Request: true}}))
 				}
 				guard.mu.Lock()
 				defer guard.mu.Unlock()
@@ -95,10 +99,11 @@
 	guard := newContentGuard(time.Now)
 	list, _ := guard.list.Load().With(time.Now(), partKey(long), quarantine.Entry{UntilMs: time.Now().Add(time.Minute).UnixMilli()})
 	guard.list.Store(list)
-	left, part := guard.Left(promptOf(long))
+	left, part := guard.Left(contentOf(long))
 	g.Expect(left).To(BeNumerically(">", 0))
-	g.Expect(part).To(Equal(long))
-	left, _ = guard.Left(&dispatch.Prompt{Parts: []dispatch.Part{{ID: "a"}, {ID: long}}})
+	g.Expect(part).To(Equal("part " + long))
+	own := &dispatch.Request{Prompt: &dispatch.Prompt{Parts: []dispatch.Part{{ID: "a"}, {ID: long}}}}
+	left, _ = guard.Left(own.Content())
 	g.Expect(left).To(BeZero(), "the last part belongs to one request only")
 }
 
@@ -139,7 +144,7 @@
 }
 
 func (n *controlNetwork) left(vm, part string) time.Duration {
-	left, _ := n.daemons[vm].quarantine.guard.Left(promptOf(part))
+	left, _ := n.daemons[vm].quarantine.guard.Left(contentOf(part))
 	return left
 }
 
@@ -149,7 +154,7 @@
 	g := NewWithT(t)
 	n := newControlNetwork(t, "vm-0", "vm-1", "vm-2")
 	now := time.Now()
-	n.daemons["vm-2"].quarantine.guard.Served(promptOf("first", "deep"))
+	n.daemons["vm-2"].quarantine.guard.Served(contentOf("first", "deep"))
 	for i := range DefaultSettings().Quarantine.Crashes {
 		reporter := n.daemons["vm-"+formatInt(int64(i%2))]
 		reporter.quarantine.report(now, &CrashReport{Server: formatInt(int64(i)), Suspects: []quarantine.Suspect{{Part: "first"}, {Part: "bad", Depth: 1}, {Part: "deep", Depth: 2}}})
@@ -235,7 +240,7 @@
 		for _, vm := range collectors {
 			// The process of the VM is replaced by a new one.
 			old := n.daemons[vm].quarantine
-			old.detector = quarantine.NewDetector(DefaultSettings().Quarantine.Crashes)
+			old.detector = quarantine.NewDetector(DefaultSettings().Quarantine.Crashes, DefaultSettings().Quarantine.RequestCrashes)
 			index, _ := strconv.Atoi(strings.TrimPrefix(vm, "vm-"))
 			n.daemons[reporter].apply(feedMembers, memberOf(t, index, "b"+formatInt(int64(i))))
 		}
@@ -268,3 +273,35 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*daemons*lost), "us/report")
 }
+
+// Guards against a part whose ID names a whole request, of another customer for example.
+func TestPartsAreNoRequests(t *testing.T) {
+	NewWithT(t).Expect(partKey(requestKey("ab12"))).NotTo(Equal(requestKey("ab12")))
+}
+
+// Guards against a quarantined request that is sent, and against others that are not.
+func TestQuarantinedRequestIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	guard := newContentGuard(time.Now)
+	bad := dispatch.Request{Customer: "acme", Method: "POST", Host: "h", Target: "/a?q", Body: []byte("body")}
+	list, _ := guard.list.Load().With(time.Now(), requestKey(bad.Content().Fingerprint), quarantine.Entry{UntilMs: time.Now().Add(time.Minute).UnixMilli()})
+	guard.list.Store(list)
+	repeat := bad
+	repeat.ID = "another"
+	left, what := guard.Left(repeat.Content())
+	g.Expect(left).To(BeNumerically(">", 50*time.Second))
+	g.Expect(what).To(Equal("content " + bad.Content().Fingerprint))
+	for name, change := range map[string]func(r *dispatch.Request){
+		"customer": func(r *dispatch.Request) { r.Customer = "other" },
+		"method":   func(r *dispatch.Request) { r.Method = "PUT" },
+		"host":     func(r *dispatch.Request) { r.Host = "i" },
+		"target":   func(r *dispatch.Request) { r.Target = "/a" },
+		"body":     func(r *dispatch.Request) { r.Body = []byte("Body") },
+		"boundary": func(r *dispatch.Request) { r.Target, r.Body = "/a?qb", []byte("ody") },
+	} {
+		other := bad
+		change(&other)
+		left, _ := guard.Left(other.Content())
+		g.Expect(left).To(BeZero(), name)
+	}
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -72,13 +72,17 @@
 	Window time.Duration `json:"window"`
 }
 
-// QuarantineSettings configure which requests are withheld because a part of their
-// prompt crashes servers.
+// QuarantineSettings configure which requests are withheld because they, or a part of
+// their prompt, crash servers.
 type QuarantineSettings struct {
 	// Crashes is the number of servers that end under requests with a part of a
 	// prompt before requests with it are refused; 0 refuses none. Unit: servers.
 	// Default: 4.
 	Crashes int `json:"crashes"`
+	// RequestCrashes is the number of servers that end under requests of one customer with
+	// the same method, host, path, query and body before repeats of it are refused; 0
+	// refuses none. Unit: servers. Default: 3.
+	RequestCrashes int `json:"request_crashes"`
 	// For is the time for which they are refused. After it, a single crash suffices.
 	// Unit: duration. Default: 10m0s.
 	For time.Duration `json:"for"`
@@ -121,7 +125,7 @@
 		Cores:      1,
 		StopGrace:  8 * time.Second,
 		Retry:      RetrySettings{Ratio: 0.1, Extra: 10, Window: 10 * time.Second},
-		Quarantine: QuarantineSettings{Crashes: 4, For: 10 * time.Minute},
+		Quarantine: QuarantineSettings{Crashes: 4, RequestCrashes: 3, For: 10 * time.Minute},
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
 		Fleet:      FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -1,5 +1,5 @@
-// Package quarantine finds the parts of prompts that crash backend servers. It
-// makes the decisions only: others collect the reports, spread the results and
+// Package quarantine finds the parts of prompts and the whole requests that crash
+// backend servers. It makes the decisions only: others collect the reports, spread the results and
 // withhold the requests.
 package quarantine
 
@@ -27,14 +27,17 @@
 	maxSuspects = 512
 )
 
-// Suspect is a part of a prompt of which a server had a request when it ended.
+// Suspect is a part of a prompt, or a whole request, that a server had when it ended.
 type Suspect struct {
+	// Part is the key of the part or request.
 	Part string `cbor:"1,keyasint"`
 	// Depth is the index of the part in its prompt.
 	Depth int `cbor:"2,keyasint"`
 	// Flowing is set if the answer to the request was well under way. It is then less
 	// likely that the request ended the server.
 	Flowing bool `cbor:"3,keyasint,omitempty"`
+	// Request is set for a whole request.
+	Request bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Crash is the end of a server that had requests.
@@ -48,9 +51,10 @@
 // explain all crashes, because the requests that ran beside the one that crashed a
 // server are suspects too. It isn't safe for concurrent use.
 type Detector struct {
-	// crashes is the number of crashes needed; 0 finds nothing.
-	crashes int
-	log     []crash
+	// crashes is the number of crashes needed against a part, and requestCrashes the one
+	// against a whole request; 0 finds none.
+	crashes, requestCrashes int
+	log                     []crash
 	// served holds when a suspect was last served.
 	served map[string]time.Time
 	// quarantinedBefore holds the parts that were quarantined before. A single crash
@@ -62,15 +66,17 @@
 	server string
 	at     time.Time
 	parts  map[string]suspicion
-	// explained is set once a quarantined part explains the crash.
-	explained bool
+	// explained is set once a quarantined part explains the crash, and byRequest once a
+	// whole request does, whose parts remain suspect.
+	explained, byRequest bool
 }
 
 // suspicion sums up the requests with a part that a server had when it ended. flowing
-// is set if the answers to all of them were under way.
+// is set if the answers to all of them were under way, request for a whole request.
 type suspicion struct {
 	depth   int
 	flowing bool
+	request bool
 }
 
 // weight returns how much a crash counts against the part.
@@ -81,9 +87,10 @@
 	return 1
 }
 
-// NewDetector returns a detector that needs a number of crashes to accuse a part.
-func NewDetector(crashes int) *Detector {
-	return &Detector{crashes: crashes, served: map[string]time.Time{}, quarantinedBefore: map[string]bool{}}
+// NewDetector returns a detector that needs a number of crashes to accuse a part, and
+// another one to accuse a whole request.
+func NewDetector(crashes, requestCrashes int) *Detector {
+	return &Detector{crashes: crashes, requestCrashes: requestCrashes, served: map[string]time.Time{}, quarantinedBefore: map[string]bool{}}
 }
 
 // Crashed records a crash. Reports of several daemons on the same server add up.
@@ -102,9 +109,9 @@
 		known, ok := parts[s.Part]
 		switch {
 		case ok:
-			parts[s.Part] = suspicion{max(known.depth, s.Depth), known.flowing && s.Flowing}
+			parts[s.Part] = suspicion{max(known.depth, s.Depth), known.flowing && s.Flowing, s.Request}
 		case len(parts) < maxSuspects:
-			parts[s.Part] = suspicion{s.Depth, s.Flowing}
+			parts[s.Part] = suspicion{s.Depth, s.Flowing, s.Request}
 		}
 	}
 }
@@ -130,11 +137,12 @@
 func (d *Detector) Quarantined(part string) { d.quarantinedBefore[part] = true }
 
 // Explained records that a part is the cause of the crashes that name it. They then
-// accuse no other part.
+// accuse no other part. Crashes that a whole request explains accuse no other request.
 func (d *Detector) Explained(part string) {
 	for i := range d.log {
-		if _, ok := d.log[i].parts[part]; ok {
-			d.log[i].explained = true
+		if s, ok := d.log[i].parts[part]; ok {
+			d.log[i].explained = d.log[i].explained || !s.request
+			d.log[i].byRequest = d.log[i].byRequest || s.request
 		}
 	}
 }
@@ -187,6 +195,8 @@
 	count float64
 	last  time.Time
 	depth int
+	// request is set for a whole request.
+	request bool
 }
 
 func (d *Detector) evidence() map[string]evidence {
@@ -196,9 +206,13 @@
 			continue
 		}
 		for part, s := range c.parts {
+			if s.request && c.byRequest {
+				continue
+			}
 			e := out[part]
-			e.depth = max(e.depth, s.depth)
-			if c.at.After(d.served[part]) && (e.count == 0 || c.at.Sub(e.last) >= sameMoment) {
+			e.depth, e.request = max(e.depth, s.depth), s.request
+			// A failed attempt at a whole request may end the next server at once.
+			if c.at.After(d.served[part]) && (e.count == 0 || s.request || c.at.Sub(e.last) >= sameMoment) {
 				e.count += s.weight()
 				e.last = c.at
 			}
@@ -211,8 +225,11 @@
 // enough reports whether the evidence against a part suffices.
 func (d *Detector) enough(part string, e evidence) bool {
 	need := d.crashes
+	if e.request {
+		need = d.requestCrashes
+	}
 	switch {
-	case d.crashes == 0:
+	case need == 0:
 		return false
 	case d.quarantinedBefore[part]:
 		need = 1
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -32,7 +32,7 @@
 // ones, and what ran beside them, must not be accused.
 func TestCauseIsCulpritAndNotWhatRanBeside(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	for i := range 3 {
 		d.Crashed(at(100*i), Crash{Server: fmt.Sprint("s", i), Suspects: suspects("popular", "bad")})
 		d.Crashed(at(100*i+5), Crash{Server: fmt.Sprint("s", i), Suspects: suspects("popular", fmt.Sprint("beside", i))})
@@ -50,7 +50,7 @@
 // Guards against an accused first part, which most requests share, if nobody knows
 // when it was last served.
 func TestDeepestOfEqualPartsIsCulprit(t *testing.T) {
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	crashSeries(d, 3, "first", "second")
 	part, _ := d.Culprit(at(300))
 	NewWithT(t).Expect(part).To(Equal("second"))
@@ -60,7 +60,7 @@
 // power at the same moment.
 func TestCrashesAtTheSameMomentCountOnce(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	for i := range 9 {
 		d.Crashed(at(4*i), Crash{Server: fmt.Sprint("s", i), Suspects: suspects("new")})
 	}
@@ -71,7 +71,7 @@
 // the last answer count, and more of them are needed.
 func TestServedPartNeedsMoreCrashes(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	crashSeries(d, 8, "popular")
 	d.Served("popular", at(-1000))
 	g.Expect(d.Suspected(at(900))).To(BeEmpty())
@@ -85,7 +85,7 @@
 // parts beside the cause.
 func TestLateReportsOnExplainedCrashesAccuseNoOther(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	crashSeries(d, 3, "bad")
 	d.Explained("bad")
 	crashSeries(d, 3, "beside")
@@ -96,7 +96,7 @@
 // ends.
 func TestSingleCrashSufficesAfterAQuarantine(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	d.Quarantined("bad")
 	crashSeries(d, 1, "popular", "bad")
 	part, _ := d.Culprit(at(100))
@@ -108,7 +108,7 @@
 // Guards against crashes that count for ever, and against unbounded memory.
 func TestCrashesAreForgotten(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	crashSeries(d, 3, "bad")
 	g.Expect(d.Suspected(at(0).Add(CrashMemory + time.Second))).To(BeEmpty())
 	crashSeries(d, 2*maxCrashes, "x")
@@ -123,7 +123,7 @@
 
 // Guards against quarantine for no crash: 0 crashes turn it off.
 func TestZeroCrashesAccuseNothing(t *testing.T) {
-	d := NewDetector(0)
+	d := NewDetector(0, 0)
 	d.Quarantined("bad")
 	crashSeries(d, 9, "bad")
 	NewWithT(t).Expect(d.Suspected(at(900))).To(BeEmpty())
@@ -134,7 +134,7 @@
 // and other requests run beside it; all that end are answered.
 func TestOnlyTheCauseIsCulprit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := NewDetector(3)
+		d := NewDetector(3, 0)
 		part := rapid.IntRange(0, 7)
 		depth := rapid.IntRange(0, 1).Draw(t, "depth of the cause")
 		served := map[string]time.Time{}
@@ -221,7 +221,7 @@
 // to crash: what was being answered is less suspect than what was not.
 func TestFlowingAnswersAccuseLess(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDetector(3)
+	d := NewDetector(3, 0)
 	for i := range 12 {
 		d.Crashed(at(100*i), Crash{Server: fmt.Sprint("s", i), Suspects: []Suspect{{Part: "long", Flowing: true}}})
 		if i == 2 {
@@ -234,3 +234,62 @@
 	}
 	g.Expect(d.Suspected(at(1200))).To(ContainElement("mixed"))
 }
+
+func request(key string, depth int) Suspect { return Suspect{Part: key, Depth: depth, Request: true} }
+
+// Guards against a request that needs as many crashes as a part of a prompt, which many
+// requests share, and against its attempts that count once because the next server
+// ends at once.
+func TestWholeRequestNeedsItsOwnNumberOfCrashes(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDetector(9, 3)
+	for i := range 3 {
+		_, ok := d.Culprit(at(10 * i))
+		g.Expect(ok).To(BeFalse())
+		d.Crashed(at(10*i), Crash{Server: fmt.Sprint("s", i), Suspects: []Suspect{request("r", 0), request(fmt.Sprint("beside", i), 0)}})
+	}
+	key, ok := d.Culprit(at(100))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(key).To(Equal("r"))
+	d.Explained("r")
+	_, ok = d.Culprit(at(100))
+	g.Expect(ok).To(BeFalse())
+	g.Expect(NewDetector(9, 0).Suspected(at(100))).To(BeEmpty())
+}
+
+// Guards against a sound request that clients repeat often, and that is refused because
+// it was on servers that crashed.
+func TestServedRequestNeedsMoreCrashes(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDetector(9, 3)
+	for i := range 8 {
+		d.Crashed(at(100*i), Crash{Server: fmt.Sprint("s", i), Suspects: []Suspect{request("often", 0)}})
+		d.Served("often", at(-50))
+	}
+	g.Expect(d.Suspected(at(900))).To(BeEmpty(), "served shortly before")
+	d.Served("often", at(750))
+	d.Crashed(at(1000), Crash{Server: "s9", Suspects: []Suspect{request("often", 0)}})
+	g.Expect(d.Suspected(at(1100))).To(BeEmpty(), "served meanwhile")
+}
+
+// Guards against a part that crashes servers and is not found because requests with it
+// were found before.
+func TestPartRemainsSuspectBesideItsRequests(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDetector(4, 3)
+	crashed := func(i int, key string) {
+		d.Crashed(at(100*i), Crash{Server: fmt.Sprint("s", i), Suspects: append(suspects("bad"), request(key, 1))})
+	}
+	for i := range 3 {
+		crashed(i, "r")
+	}
+	key, _ := d.Culprit(at(300))
+	g.Expect(key).To(Equal("r"))
+	d.Explained("r")
+	crashed(3, "other")
+	key, ok := d.Culprit(at(400))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(key).To(Equal("bad"))
+	d.Explained("bad")
+	g.Expect(d.Suspected(at(400))).To(BeEmpty())
+}
