--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,7 +130,7 @@
 		result.Failed, result.Down = failed.Server, failed.Down
 		c.avoid = append(c.avoid, failed.Server.ID)
 		if failed.Lost {
-			c.Quarantine.Lost(failed.Server, c.content, c.flowed())
+			c.Quarantine.Lost(failed.Server, c.content, Progress{Prefill: failed.Server == place.Prefill, Flowed: c.flowed()})
 		}
 	}
 	c.Scheduler.Done(place, result)
--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -77,3 +77,15 @@
 		})
 	}
 }
+
+// Guards against sound requests that count as the cause because they were prefilled on
+// engines that ended, and against lost runs that count as prefills.
+func TestLostPrefillIsReportedAsSuch(t *testing.T) {
+	g := NewWithT(t)
+	lost := &AttemptError{Run: backend.RunUnknown, Reason: "broken", Sent: true, Down: true, Lost: true}
+	run := *lost
+	f := &fakes{servers: servers("a", "b"), prefillOn: servers("p", "q"), prefills: []*AttemptError{lost}, runs: []any{&run}, quarantinedAfter: 99, budget: 5}
+	f.servePrompt(draft, crashing)
+	g.Expect(f.lost).To(Equal([]string{"p", "b"}))
+	g.Expect(f.lostPrefill).To(Equal([]bool{true, false}))
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -103,6 +103,14 @@
 	return strconv.FormatUint(h.Sum64(), 16)
 }
 
+// Progress is how far a server had come with a request when the connection broke.
+type Progress struct {
+	// Prefill is set if the server only prefilled the prompt.
+	Prefill bool
+	// Flowed is the time since the answer's first event; 0 if there was none.
+	Flowed time.Duration
+}
+
 // Answer sends the answer to the client. Its methods are called by one goroutine.
 type Answer interface {
 	// Whole sends a complete answer.
@@ -303,6 +311,5 @@
 	// Served records that a server answered a request completely.
 	Served(c Content)
 	// Lost records that the connection to a server broke while it had a request.
-	// flowed is the time since the answer's first event; 0 if there was none.
-	Lost(server *registry.Server, c Content, flowed time.Duration)
+	Lost(server *registry.Server, c Content, p Progress)
 }
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -129,16 +129,19 @@
 
 // Lost implements dispatch.Quarantine. A broken connection alone does not show that
 // the server has ended: it is reported if the server refuses new connections too.
-func (q *contentGuard) Lost(server *registry.Server, c dispatch.Content, flowed time.Duration) {
+//
+// A prefill is not a run of the request, so that its loss accuses the request as little
+// as that of an answer under way. The parts of the prompt may well be the cause.
+func (q *contentGuard) Lost(server *registry.Server, c dispatch.Content, p dispatch.Progress) {
 	if server.Draining {
 		return
 	}
-	flowing := flowed >= flowingAfter
+	flowing := p.Flowed >= flowingAfter
 	var suspects []quarantine.Suspect
 	for depth, part := range c.Parts {
 		suspects = append(suspects, quarantine.Suspect{Part: partKey(part.ID), Depth: depth, Flowing: flowing})
 	}
-	suspects = append(suspects, quarantine.Suspect{Part: requestKey(c.Fingerprint), Depth: len(c.Parts), Flowing: flowing, Request: true})
+	suspects = append(suspects, quarantine.Suspect{Part: requestKey(c.Fingerprint), Depth: len(c.Parts), Flowing: flowing || p.Prefill, Request: true})
 	run := server.ID + "/" + formatInt(server.StartedMs)
 	if q.lost(server.Addr, run, suspects) {
 		q.report(&CrashReport{Server: run, Suspects: suspects})
