--- a/edge/settings.go
+++ b/edge/settings.go
@@ -194,6 +194,9 @@
 	if s.Quarantine.Crashes < 0 {
 		d.Report("quarantine.crashes", "must not be negative")
 	}
+	if s.Quarantine.RequestCrashes < 0 {
+		d.Report("quarantine.request_crashes", "must not be negative")
+	}
 	if s.Retry.Extra < 0 {
 		d.Report("retry.extra", "must not be negative")
 	}
