--- a/edge/feed.go
+++ b/edge/feed.go
@@ -332,8 +332,8 @@
 }
 
 // cutRecords returns the first records whose keys and values have at most limit bytes,
-// at least those of one offset, and their size. They are complete up to the last one, because they are in the order of their
-// offsets.
+// at least those of one offset, and their size. They are complete up to the last one,
+// because they are in the order of their offsets.
 func cutRecords(records []hosting.KeyedRecord, end int64, limit int) (FeedRecords, int) {
 	size := 0
 	for i, r := range records {
