--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -14,9 +15,18 @@
 	id, key, path string
 	method        string
 	timeLeft      time.Duration
-	status        int
-	err           error
-	sent          time.Time
+	// tokens and parts describe a prompt; empty for none.
+	tokens, parts string
+	// client is the client of the platform to use; nil for the usual one.
+	client *http.Client
+	status int
+	err    error
+	sent   time.Time
+	// ended is the time of the answer's head or of the error.
+	ended time.Time
+	// wrote is set once the whole request was written, kept if that was on a channel
+	// that had served requests before.
+	wrote, kept bool
 }
 
 var httpClient = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -39,7 +49,21 @@
 	req.Header.Set(names.RequestID, c.id)
 	req.Header.Set(names.TimeLeft, strconv.FormatInt(c.timeLeft.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer "+c.key)
-	resp, err := httpClient.Do(req)
+	if c.tokens != "" {
+		req.Header.Set(names.Tokens, c.tokens)
+		req.Header.Set(names.Model, "m")
+		req.Header.Set(names.PromptParts, c.parts)
+	}
+	client := httpClient
+	if c.client != nil {
+		client = c.client
+	}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { c.kept = info.Reused },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { c.wrote = info.Err == nil },
+	}))
+	resp, err := client.Do(req)
+	c.ended = time.Now()
 	if err != nil {
 		c.err = err
 		return
@@ -47,4 +71,5 @@
 	defer func() { _ = resp.Body.Close() }()
 	c.status = resp.StatusCode
 	_, c.err = io.Copy(io.Discard, resp.Body)
+	c.ended = time.Now()
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -35,11 +35,12 @@
 	ServersTopic string
 	RequestID    string
 	TimeLeft     string
-	NotExecuted  string
-	Signature    string
 	Tokens       string
 	Model        string
 	PromptParts  string
+	Stage        string
+	StagePrefill string
+	KVSource     string
 }
 
 //go:embed names.json
@@ -49,6 +50,7 @@
 var cases = map[string]func(r *rig) (broken bool, err error){
 	"usage": usageCase,
 	"drain": drainCase,
+	"stop":  stopCase,
 }
 
 func main() {
