--- a/review/rig/readers.go
+++ b/review/rig/readers.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"sort"
 	"sync"
 	"time"
 )
 
+// readPause is longer than the pause between two reads of a daemon that reads a topic
+// for the others.
+const readPause = 1200 * time.Millisecond
+
 // readers notes which daemons read a topic, and may silence the store for some daemons.
 type readers struct {
 	topic string
@@ -50,6 +55,17 @@
 	return out
 }
 
+// await waits until two daemons read the topic and returns them.
+func (l *readers) await(within time.Duration) ([]string, error) {
+	var out []string
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		if out = l.since(time.Now().Add(-readPause)); len(out) == 2 {
+			return out, nil
+		}
+	}
+	return nil, fmt.Errorf("%d daemons read %s", len(out), l.topic)
+}
+
 // silence sets whether the store answers some daemons.
 func (l *readers) silence(vms []string, silent bool) {
 	l.mu.Lock()
