--- a/review/rig/stop.go
+++ b/review/rig/stop.go
@@ -38,7 +38,7 @@
 	// channels to the daemon: two readiness checks a second apart have failed.
 	newChannelsUntil = 2 * time.Second
 	// stopGap is the time between the stops of the two machines. The site file stops
-	// machines in turn each 1.3 to 2 s.
+	// machines in turn each 1.0 to 2.0 s.
 	stopGap = 2 * time.Second
 	// sendUntil is the time from SIGTERM until which the clients send.
 	sendUntil = 2400 * time.Millisecond
