edge, replica: a copy says from which offset on it knows removals

Cause: a daemon that starts reads the newest record of each key, which says nothing of removed keys, and offered that copy as complete up to its end. A daemon that had not read a removal yet pulled the records from its own end on, got none, and took the offered end over: the removal was lost for good.

Change: a copy knows the offset from which on it holds removals (base). A pull says from which offset on its sender lacks them; if the other copy knows fewer, it sends the whole topic, and keys that are missing there have been removed. If that does not fit into one push, the daemon reads the topic from the store. Such removals count as read from the store, because the sender can't know whether the entries only expired during an outage.

The model test found three related faults, mended with it: - an answer to the process before on the same VM was taken for a whole topic; - a copy that had received a cut push counted as complete up to the cut, though a key's newest record, or its removal, was in the rest; - an old removal in a whole topic hid that the key had been removed again.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -50,6 +50,9 @@
 	// peer had announced.
 	pulled    time.Time
 	pulledEnd int64
+	// gap is set if a peer couldn't send all records that the replica lacks. Only the
+	// store can.
+	gap bool
 }
 
 // FeedState is the state of a daemon's replica of a topic.
@@ -64,12 +67,22 @@
 	Version int64 `cbor:"3,keyasint,omitempty"`
 }
 
-// FeedRecords are records of a topic that are complete up to End.
+// FeedRecords is a section of the sender's replica of a topic. End is hosting.NoOffset
+// if there is none.
 type FeedRecords struct {
 	Records []hosting.KeyedRecord `cbor:"1,keyasint,omitempty"`
 	End     int64                 `cbor:"2,keyasint"`
-	// Whole is set if Records continue up to the end of the sender's replica.
-	Whole bool `cbor:"3,keyasint,omitempty"`
+	Total   int64                 `cbor:"3,keyasint"`
+	From    int64                 `cbor:"4,keyasint"`
+	Base    int64                 `cbor:"5,keyasint"`
+}
+
+func feedRecords(s replica.Section) FeedRecords {
+	return FeedRecords{Records: s.Records, From: s.From, Base: s.Base, End: s.End, Total: s.Total}
+}
+
+func (r FeedRecords) section() replica.Section {
+	return replica.Section{Records: r.Records, From: r.From, Base: r.Base, End: r.End, Total: r.Total}
 }
 
 // gossipRounds returns the number of heartbeat rounds after which new records
@@ -102,7 +115,7 @@
 		}
 		age := now.Sub(f.replica.Fresh())
 		longest := limit + f.follower.wait - followWait
-		f.follower.setEnabled(reader || f.replica.End() == hosting.NoOffset || age > longest)
+		f.follower.setEnabled(reader || f.gap || f.replica.End() == hosting.NoOffset || age > longest)
 		if feedID(id) == feedServers && f.replica.End() != hosting.NoOffset {
 			c.serversReplica.set(f.replica.End(), f.replica.Fresh())
 			c.setStoreUnavailable(now, age > limit+unavailableMargin)
@@ -128,8 +141,9 @@
 // applyPage applies a page that this daemon has read from the store.
 func (c *control) applyPage(now time.Time, ev feedPage) {
 	f := c.feeds[ev.feed]
+	f.gap = false
 	if ev.reset {
-		c.resetReplica(now, ev.feed, ev.page, true)
+		c.replaceReplica(now, ev.feed, replica.Section{Records: ev.page.Records, From: hosting.NoOffset, Base: ev.page.End, End: ev.page.End, Total: ev.page.End}, true)
 	} else {
 		c.applyRecords(now, ev.feed, f.replica.Apply(ev.page.Records, ev.page.End), true)
 	}
@@ -140,29 +154,33 @@
 	f.follower.setKnownEnd(f.replica.End())
 }
 
-// resetReplica applies all newest records of a topic. A new history of the store, which
+// replaceReplica replaces the replica of a topic. A new history of the store, which
 // has begun with an older copy, is entered in this way only: records that neither
 // the copy nor their writers have written again are gone.
-func (c *control) resetReplica(now time.Time, id feedID, page hosting.KeyedPage, fromStore bool) {
+func (c *control) replaceReplica(now time.Time, id feedID, s replica.Section, fromStore bool) {
 	f := c.feeds[id]
 	before := f.replica.End()
-	changed, kept := f.replica.Reset(page)
-	if before != hosting.NoOffset && hosting.History(page.End) > hosting.History(before) {
+	changed, kept := f.replica.Replace(s)
+	if before != hosting.NoOffset && hosting.History(s.End) > hosting.History(before) {
 		c.recordFault("history_lost", f.topic.String(), event.F("known_end", hosting.FormatPosition(before)),
-			event.F("end", hosting.FormatPosition(page.End)), event.F("changed", formatInt(int64(len(changed)))),
+			event.F("end", hosting.FormatPosition(s.End)), event.F("changed", formatInt(int64(len(changed)))),
 			event.F("kept", formatInt(int64(len(kept)))))
 		switch {
 		case id == feedServers && fromStore:
 			c.registry.HistoryLost(now)
 		case id == feedMembers:
-			c.announcer.historyLost(page.End)
+			c.announcer.historyLost(s.End)
 		case id == feedQuarantine && fromStore:
 			for _, r := range kept {
 				c.quarantine.put(hosting.KeyedRecord{Key: r.Key, Value: r.Value})
 			}
 		}
 	}
-	c.applyRecords(now, id, changed, fromStore)
+	// Of the keys that a peer's section lacks, the peer doesn't know when they were
+	// removed: they count as read from the store, so that entries which have only
+	// expired during an outage stay in use for a while.
+	sameHistory := hosting.History(s.End) == hosting.History(before)
+	c.applyRecords(now, id, changed, fromStore || sameHistory)
 }
 
 // keepConfig is the replica.Keep of the configuration topic.
@@ -229,7 +247,7 @@
 	out := make([]FeedState, len(c.feeds))
 	for id, f := range c.feeds {
 		out[id] = FeedState{End: f.replica.End(), Age: now.Sub(f.replica.Fresh())}
-		if feedID(id) == feedServers && c.registry.HasDelayedRemovals(now) {
+		if !f.replica.Complete() || (feedID(id) == feedServers && c.registry.HasDelayedRemovals(now)) {
 			out[id].End = hosting.NoOffset
 		}
 	}
@@ -276,10 +294,10 @@
 // pullMissing compares the replicas of a peer with those of this daemon and
 // pulls the missing records.
 func (c *control) pullMissing(now time.Time, from string, states []FeedState) {
-	pull := &Pull{Ends: make([]int64, len(c.feeds))}
+	pull := &Pull{Ends: make([]int64, len(c.feeds)), Removals: make([]int64, len(c.feeds))}
 	behind := false
 	for id, f := range c.feeds {
-		pull.Ends[id] = math.MaxInt64
+		pull.Ends[id], pull.Removals[id] = math.MaxInt64, math.MaxInt64
 		if id >= len(states) || states[id].End == hosting.NoOffset || states[id].Age < 0 {
 			continue
 		}
@@ -288,14 +306,15 @@
 		f.replica.Refresh(s.End, now.Add(-s.Age))
 		if feedID(id) == feedConfig && s.End <= f.replica.End() && s.Version > c.configVersion() && now.Sub(f.pulled) >= pullInterval {
 			// The store has lost a version that the peer still has.
-			f.pulled, pull.Ends[id], behind = now, hosting.NoOffset, true
+			f.pulled, behind = now, true
+			pull.Ends[id], pull.Removals[id] = hosting.NoOffset, hosting.NoOffset
 			continue
 		}
 		if s.End <= f.replica.End() || (s.End <= f.pulledEnd && now.Sub(f.pulled) < pullInterval) {
 			continue
 		}
 		f.pulled, f.pulledEnd = now, s.End
-		pull.Ends[id] = f.replica.End()
+		pull.Ends[id], pull.Removals[id] = f.replica.End(), f.replica.RemovalsFrom()
 		behind = true
 	}
 	if behind {
@@ -317,35 +336,20 @@
 	used := 0
 	for id, f := range c.feeds {
 		out.Feeds[id].End = hosting.NoOffset
-		if id >= len(m.Ends) || m.Ends[id] >= states[id].End || used > pushBytes {
+		if id >= len(m.Ends) || id >= len(m.Removals) || m.Ends[id] >= states[id].End || used > pushBytes {
 			continue
 		}
-		records, size := cutRecords(f.replica.Since(m.Ends[id]), states[id].End, pushBytes-used)
+		section, size := f.replica.Since(m.Ends[id], m.Removals[id]).Cut(pushBytes - used)
 		if used > 0 && used+size > pushBytes {
 			continue // The peer asks again for the feeds that it still lacks.
 		}
 		used += size
-		out.Feeds[id] = records
-		c.notePeerEnd(to, id, records.End)
+		out.Feeds[id] = feedRecords(section)
+		c.notePeerEnd(to, id, section.End)
 	}
 	c.send(to, out)
 }
 
-// cutRecords returns the first records whose keys and values have at most limit bytes,
-// at least those of one offset, and their size. They are complete up to the last one,
-// because they are in the order of their offsets.
-func cutRecords(records []hosting.KeyedRecord, end int64, limit int) (FeedRecords, int) {
-	size := 0
-	for i, r := range records {
-		n := len(r.Key) + len(r.Value)
-		if size+n > limit && i > 0 && r.Offset > records[i-1].Offset {
-			return FeedRecords{Records: records[:i], End: records[i-1].Offset + 1}, size
-		}
-		size += n
-	}
-	return FeedRecords{Records: records, End: end, Whole: true}, size
-}
-
 // applyPush applies the records of a push.
 func (c *control) applyPush(now time.Time, from string, m *Push) {
 	for id, f := range c.feeds {
@@ -355,17 +359,35 @@
 		if id >= len(m.Feeds) {
 			continue
 		}
-		push, end := m.Feeds[id], f.replica.End()
-		switch {
-		case end != hosting.NoOffset && hosting.History(push.End) > hosting.History(end):
-			if !push.Whole {
-				// This daemon reads the topic itself once its replica is stale.
-				continue
-			}
-			c.resetReplica(now, feedID(id), hosting.KeyedPage{End: push.End, Records: push.Records}, false)
-		case push.End > end || feedID(id) == feedConfig:
-			c.applyRecords(now, feedID(id), f.replica.Apply(push.Records, push.End), false)
+		if section := m.Feeds[id].section(); section.End > f.replica.End() || feedID(id) == feedConfig {
+			c.applySection(now, feedID(id), from, section)
 		}
 		f.follower.setKnownEnd(f.replica.End())
 	}
 }
+
+// applySection applies a section of a peer's replica.
+func (c *control) applySection(now time.Time, id feedID, from string, s replica.Section) {
+	f := c.feeds[id]
+	switch f.replica.Fit(s) {
+	case replica.FitContinues:
+		c.applyRecords(now, id, f.replica.Continue(s), false)
+	case replica.FitReplaces:
+		if s.End < f.replica.End() {
+			// The peer has a version of the configuration that the store has lost.
+			c.applyRecords(now, id, f.replica.Apply(s.Records, s.End), false)
+			return
+		}
+		c.recordConfig("topic_replaced", f.topic.String(), event.F("from", from), event.F("known_end", hosting.FormatPosition(f.replica.End())),
+			event.F("base", hosting.FormatPosition(s.Base)), event.F("end", hosting.FormatPosition(s.End)),
+			event.F("records", formatInt(int64(len(s.Records)))))
+		c.replaceReplica(now, id, s, false)
+	case replica.FitGap:
+		if f.gap {
+			return
+		}
+		f.gap = true
+		c.recordConfig("topic_gap", f.topic.String(), event.F("from", from), event.F("known_end", hosting.FormatPosition(f.replica.End())),
+			event.F("section_from", hosting.FormatPosition(s.From)), event.F("end", hosting.FormatPosition(s.End)))
+	}
+}
--- a/edge/message.go
+++ b/edge/message.go
@@ -129,6 +129,8 @@
 type Pull struct {
 	// Ends holds for each feed the offset from which on the sender lacks records.
 	Ends []int64 `cbor:"1,keyasint"`
+	// Removals holds for each feed the offset from which on the sender lacks removals.
+	Removals []int64 `cbor:"2,keyasint"`
 }
 
 // Push is the answer to a Pull. It carries records as they are in the store.
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -17,6 +17,7 @@
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/quarantine"
 	"github.com/mimosakeel/mimosakeel/registry"
+	"github.com/mimosakeel/mimosakeel/replica"
 )
 
 func entryOf(tb testing.TB, id string, sequence int64, draining bool) hosting.KeyedRecord {
@@ -129,7 +130,7 @@
 	received := map[string]bool{}
 	for end := hosting.NoOffset; end < 13; {
 		from := slices.IndexFunc(records, func(r hosting.KeyedRecord) bool { return r.Offset >= end })
-		push, _ := cutRecords(records[from:], 13, pushBytes)
+		push, _ := replica.Section{Records: records[from:], From: end, End: 13, Total: 13}.Cut(pushBytes)
 		g.Expect(push.End).To(BeNumerically(">", end))
 		for _, r := range push.Records {
 			received[r.Key] = true
@@ -148,13 +149,13 @@
 	sc.send = func(_ string, m peer.Message) { push = m.(*Push) }
 	known := map[feedID]int64{}
 	for range 10 {
-		pull := &Pull{Ends: make([]int64, feedCount)}
+		pull := &Pull{Ends: make([]int64, feedCount), Removals: make([]int64, feedCount)}
 		for id := range pull.Ends {
 			end, ok := known[feedID(id)]
 			if !ok {
 				end = hosting.NoOffset
 			}
-			pull.Ends[id] = end
+			pull.Ends[id], pull.Removals[id] = end, end
 		}
 		sc.answerPull(sc.now, "vm-1", pull)
 		encoded, err := cbor.Marshal(push)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 
 func values(r *Replica) map[string]string {
 	out := map[string]string{}
-	for _, record := range r.Since(0) {
+	for _, record := range r.Since(0, 0).Records {
 		if record.Value != nil {
 			out[record.Key] = string(record.Value)
 		}
@@ -87,7 +88,7 @@
 		complete := rapid.IntRange(0, deliveries).Draw(t, "complete")
 		for i := range deliveries + 1 {
 			if i == complete {
-				got.Apply(want.Since(0), want.End())
+				got.Apply(want.Since(0, 0).Records, want.End())
 				continue
 			}
 			from := rapid.IntRange(0, len(log)).Draw(t, "from")
@@ -117,7 +118,7 @@
 
 	late := New(newer)
 	late.Apply([]hosting.KeyedRecord{put(in(0), "kept", "5"), put(in(1), "old", "3")}, in(2))
-	g.Expect(late.Apply(r.Since(hosting.NoOffset), in(2))).To(ConsistOf(put(in(0), "kept", "8"), drop(in(1), "gone")))
+	g.Expect(late.Apply(r.Since(hosting.NoOffset, hosting.NoOffset).Records, in(2))).To(ConsistOf(put(in(0), "kept", "8"), drop(in(1), "gone")))
 	g.Expect(r.Apply([]hosting.KeyedRecord{put(in(0), "kept", "5")}, in(2))).To(BeEmpty())
 	g.Expect(values(late)["kept"]).To(Equal("8"))
 
@@ -126,3 +127,91 @@
 	g.Expect(empty).To(ConsistOf(drop(hosting.Position(2, 0)-1, "old")))
 	g.Expect(r.Apply([]hosting.KeyedRecord{put(hosting.Position(2, 0), "old", "1")}, hosting.Position(2, 1))).To(HaveLen(1))
 }
+
+// topicModel is a topic of the store: all of its records, of which reads of the newest
+// ones show no removals.
+type topicModel []hosting.KeyedRecord
+
+// at returns the values of the topic when it ended at an offset.
+func (m topicModel) at(end int64) map[string]string {
+	out := map[string]string{}
+	for _, record := range m[:end] {
+		delete(out, record.Key)
+		if record.Value != nil {
+			out[record.Key] = string(record.Value)
+		}
+	}
+	return out
+}
+
+func (m topicModel) newest() hosting.KeyedPage {
+	page := hosting.KeyedPage{End: int64(len(m))}
+	for i, record := range m {
+		later := slices.ContainsFunc(m[i+1:], func(r hosting.KeyedRecord) bool { return r.Key == record.Key })
+		if record.Value != nil && !later {
+			page.Records = append(page.Records, record)
+		}
+	}
+	return page
+}
+
+// Guards against copies that miss a removal for good, or claim to be complete without
+// it, whatever the order in which daemons start, read the store and pull sections, of
+// which some are cut or answer the process before.
+func TestCompleteCopiesHoldTheStateOfTheTopic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var topic topicModel
+		copies := []*Replica{New(nil), New(nil), New(nil)}
+		any := func(name string) int { return rapid.IntRange(0, len(copies)-1).Draw(t, name) }
+		var answers []Section
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			c := copies[any("copy")]
+			switch rapid.SampledFrom([]string{"write", "remove", "read", "read anew", "pull", "pull", "late answer", "restart"}).Draw(t, "step") {
+			case "write":
+				topic = append(topic, put(int64(len(topic)), fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key")), fmt.Sprint(len(topic))))
+			case "remove":
+				topic = append(topic, drop(int64(len(topic)), fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))))
+			case "read":
+				if c.End() != hosting.NoOffset {
+					c.Apply(topic[c.End():], int64(len(topic)))
+				}
+			case "read anew":
+				c.Reset(topic.newest())
+			case "pull":
+				from := copies[any("from")]
+				if !from.Complete() || from.End() <= c.End() {
+					continue
+				}
+				s := from.Since(c.End(), c.RemovalsFrom())
+				s, _ = s.Cut(rapid.IntRange(1, 20).Draw(t, "bytes"))
+				answers = append(answers, s)
+				apply(c, s)
+			case "late answer":
+				if len(answers) > 0 {
+					apply(c, rapid.SampledFrom(answers).Draw(t, "answer"))
+				}
+			case "restart":
+				copies[any("restarted")] = New(nil)
+			}
+			for i, c := range copies {
+				if c.Complete() && !maps.Equal(values(c), topic.at(c.End())) {
+					t.Fatalf("copy %d holds %v at %d, the topic %v", i, values(c), c.End(), topic.at(c.End()))
+				}
+			}
+		}
+	})
+}
+
+// apply applies a section like a daemon that receives it.
+func apply(r *Replica, s Section) {
+	if s.End <= r.End() {
+		return
+	}
+	switch r.Fit(s) {
+	case FitContinues:
+		r.Continue(s)
+	case FitReplaces:
+		r.Replace(s)
+	case FitGap:
+	}
+}
