edge: the first read of a topic doesn't wait for new records

Cause: when both readers of a topic are gone, the others read it themselves once their copy is 1.5 s old. That read waited up to 0.8 s for a new record, and the store counted as unavailable after 0.7 s without an answer. So each such daemon thought that the store had been away and had come back, and delayed the removals that it read in the next 2 s.

Change: a follower that begins to read, or whose last read has failed, asks for what is there; only the reads after it wait for new records.

TestFirstReadAnswersAtOnce failed before at all three checks.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -69,27 +69,34 @@
 func (f *follower) setKnownEnd(end int64) { f.knownEnd.Store(end) }
 
 func (f *follower) run(ctx context.Context) {
+	// The first read, and those after a failure, don't wait for new records: their
+	// answer shows that the store can be read and that there are none.
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if !f.enabled.Load() {
+			wait = 0
 			select {
 			case <-f.wake:
 			case <-ctx.Done():
 			}
 			continue
 		}
-		err := f.readOnce(ctx)
+		err := f.readOnce(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
 		f.recordTransition(err)
+		wait = f.wait
 		if err != nil {
+			wait = 0
 			sleep(ctx, followRetry/2+rand.N(followRetry))
 		}
 	}
 }
 
-// readOnce makes one read of the topic.
-func (f *follower) readOnce(ctx context.Context) error {
+// readOnce makes one read of the topic that waits at most the given time for new
+// records.
+func (f *follower) readOnce(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
 	defer cancel()
 	from := f.knownEnd.Load()
@@ -108,7 +115,7 @@
 		f.onPage(page, true)
 		return nil
 	}
-	page, err := f.topics.Follow(ctx, f.topic, from, f.wait)
+	page, err := f.topics.Follow(ctx, f.topic, from, wait)
 	var trimmed *hosting.TrimmedError
 	var lost *hosting.HistoryError
 	if errors.As(err, &trimmed) || errors.As(err, &lost) {
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -149,3 +149,42 @@
 		events.Close()
 	})
 }
+
+// Guards against a store that counts as unavailable although it answers: a daemon that
+// begins to read a topic, or whose reads have failed, must not wait for a new record
+// before it knows that there is none.
+func TestFirstReadAnswersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topics := newMemoryTopics()
+		topics.put("known")
+		events := event.NewRecorder(hlc.New(time.Now), "test", nil, zerolog.Nop())
+		var last time.Time
+		f := newFollower(topics, hosting.Topic{Name: "t"}, events, func(hosting.KeyedPage, bool) { last = time.Now() })
+		f.setKnownEnd(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.run(ctx); close(done) }()
+		expectAnswer := func(what string, within time.Duration) {
+			t.Helper()
+			begin := time.Now()
+			time.Sleep(within)
+			synctest.Wait()
+			if last.Before(begin) {
+				t.Errorf("no answer within %v of %s", within, what)
+			}
+		}
+		f.setEnabled(true)
+		expectAnswer("the start", time.Millisecond)
+		f.setEnabled(false)
+		time.Sleep(2 * followWait)
+		f.setEnabled(true)
+		expectAnswer("the next start", time.Millisecond)
+		topics.set(func() { topics.down = true })
+		time.Sleep(2 * followWait)
+		topics.set(func() { topics.down = false })
+		expectAnswer("the end of an outage", 2*followRetry)
+		cancel()
+		<-done
+		events.Close()
+	})
+}
