registry: the delay of a removal counts from the end of the outage

Cause: after an outage of the store, removals are delayed by 2 s, because live servers write expired entries again within 2 s after it. The delay counted from when this daemon happened to read the removal, so that one that was read at the end of the 2 s was used for 2 s more. A daemon that was itself cut off delays removals in the same way.

Change: the delay ends 2 s after the end of the outage, whenever the removal is read. The first page that shows the end of the outage is applied after it.

TestRemovalDelayCountsFromTheOutage failed before. The tests that keep live servers in use after an outage hold unchanged.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -142,15 +142,15 @@
 func (c *control) applyPage(now time.Time, ev feedPage) {
 	f := c.feeds[ev.feed]
 	f.gap = false
+	if ev.feed == feedServers {
+		c.setStoreUnavailable(now, false)
+	}
 	if ev.reset {
 		c.replaceReplica(now, ev.feed, replica.Section{Records: ev.page.Records, From: hosting.NoOffset, Base: ev.page.End, End: ev.page.End, Total: ev.page.End}, true)
 	} else {
 		c.applyRecords(now, ev.feed, f.replica.Apply(ev.page.Records, ev.page.End), true)
 	}
 	f.replica.Refresh(ev.page.End, now)
-	if ev.feed == feedServers {
-		c.setStoreUnavailable(now, false)
-	}
 	f.follower.setKnownEnd(f.replica.End())
 }
 
--- a/registry/server_list.go
+++ b/registry/server_list.go
@@ -8,10 +8,10 @@
 	"github.com/mimosakeel/mimosakeel/hosting"
 )
 
-// RemovalDelay is how long a server stays in use after the removal of its entry
-// was read during or shortly after an outage of the store. Such an entry may have
-// expired only because the server couldn't renew it. Live servers write their
-// entries again within about two seconds after the outage.
+// RemovalDelay is how long after an outage of the store servers stay in use whose
+// removal was read since. Such an entry may have expired only because the server
+// couldn't renew it. Live servers write their entries again within about two seconds
+// after the outage.
 const RemovalDelay = 2 * time.Second
 
 // Decode decodes the entry of the server with the given ID.
@@ -124,37 +124,39 @@
 	})
 }
 
-// delaysRemovals reports whether a removal read from the store may be due to an
-// outage of the store.
-func (l *ServerList) delaysRemovals(now time.Time) bool {
-	return l.storeLost || (!l.regainedAt.IsZero() && now.Sub(l.regainedAt) < RemovalDelay)
+// removalsUntil returns the time until which removals that are read now are delayed.
+// It has passed if they can't be due to an outage of the store.
+func (l *ServerList) removalsUntil(now time.Time) time.Time {
+	if l.storeLost {
+		return now.Add(RemovalDelay)
+	}
+	return l.regainedAt.Add(RemovalDelay)
 }
 
 // FromStore applies entries that were read from the store, in order. It returns
 // those that can't be decoded.
 func (l *ServerList) FromStore(now time.Time, records []hosting.KeyedRecord) []UndecodableEntry {
-	return l.apply(now, records, l.delaysRemovals(now))
+	return l.apply(now, records, l.removalsUntil(now))
 }
 
 // FromPeer applies entries that a peer uses already, in order, and removes servers
 // at once. It returns the entries that can't be decoded.
 func (l *ServerList) FromPeer(now time.Time, records []hosting.KeyedRecord) []UndecodableEntry {
-	return l.apply(now, records, false)
+	return l.apply(now, records, now)
 }
 
-func (l *ServerList) apply(now time.Time, records []hosting.KeyedRecord, hold bool) []UndecodableEntry {
+func (l *ServerList) apply(now time.Time, records []hosting.KeyedRecord, removalsUntil time.Time) []UndecodableEntry {
 	var bad []UndecodableEntry
 	for _, r := range records {
-		if err := l.put(now, r, hold); err != nil {
+		if err := l.put(now, r, removalsUntil); err != nil {
 			bad = append(bad, UndecodableEntry{ID: r.Key, Err: err})
 		}
 	}
 	return bad
 }
 
-// put replaces the entry of a key. If hold is set, a removed server stays in use
-// for RemovalDelay.
-func (l *ServerList) put(now time.Time, r hosting.KeyedRecord, hold bool) error {
+// put replaces the entry of a key. A removed server stays in use until removalsUntil.
+func (l *ServerList) put(now time.Time, r hosting.KeyedRecord, removalsUntil time.Time) error {
 	old := l.entries[r.Key]
 	if old == nil {
 		old = &entry{}
@@ -165,8 +167,8 @@
 	defer l.touch(now, r.Key)
 	if r.Value == nil {
 		l.noteRemoval(now, r.Key)
-		if s := old.current(now); hold && s != nil {
-			next.held, next.heldUntil = s, now.Add(RemovalDelay)
+		if s := old.current(now); now.Before(removalsUntil) && s != nil {
+			next.held, next.heldUntil = s, removalsUntil
 			l.held[r.Key] = struct{}{}
 		}
 		return nil
--- a/registry/server_list_test.go
+++ b/registry/server_list_test.go
@@ -64,6 +64,22 @@
 	g.Expect(b.HasDelayedRemovals(back.Add(RemovalDelay + time.Second))).To(BeFalse())
 }
 
+// Guards against a removed server that stays in use for longer than the time in which
+// it may get requests: the delay counts from the end of the outage, not from when the
+// removal was read.
+func TestRemovalDelayCountsFromTheOutage(t *testing.T) {
+	g := NewWithT(t)
+	b := NewServerList(decodePlain)
+	b.FromStore(start, []hosting.KeyedRecord{put(0, "a", "1")})
+	b.StoreLost()
+	b.StoreRegained(start)
+	late := start.Add(RemovalDelay - 10*time.Millisecond)
+	b.FromStore(late, []hosting.KeyedRecord{drop(1, "a")})
+	g.Expect(addresses(b, late)).To(Equal([]string{"a=1"}))
+	g.Expect(addresses(b, start.Add(RemovalDelay))).To(BeEmpty())
+	g.Expect(b.HasDelayedRemovals(start.Add(RemovalDelay))).To(BeFalse())
+}
+
 func decodeVersioned(id string, value []byte) (Server, error) {
 	s := Server{ID: id}
 	return s, json.Unmarshal(value, &s)
