edge: a queued request is placed elsewhere when its scheduler leaves

Cause: after ReplyQueued an entry daemon waited for nothing but the reply and the deadline. The queue of a scheduler ends with its process, in a planned stop as in a crash or a restart, and nobody told the entry daemons. The reply that the pool is not scheduled there (ReplyMoved) was taken for a grant of no engine.

Change: the request belongs to its entry daemon. When a daemon announces its stop, is no longer live, or was replaced by a new process, the entry daemons withdraw the requests that wait for it and ask the scheduler of the next view, or their own. ReplyMoved is treated alike. Counter mimosakeel_edge_grants_moved_total, log line scheduler_left.

Tests: TestQueuedRequestIsPlacedElsewhereWhenItsSchedulerLeaves (its cases with ReplyMoved failed before; the others wait until their deadline if schedulerLeft does nothing), TestRequestWithoutAnySchedulerIsRefused, TestControlTellsWhichSchedulersLeft.

--- a/edge/control.go
+++ b/edge/control.go
@@ -80,7 +80,11 @@
 	// schedulersChanged is called when pools have got another scheduler or a scheduler
 	// was restarted.
 	schedulersChanged func(now time.Time)
-	clock             *metering.Clock
+	// schedulerLeft is called when the process on a VM stops, has ended or was replaced.
+	schedulerLeft func(vm string)
+	// left holds the VMs for which schedulerLeft is called after the next publish.
+	left  []string
+	clock *metering.Clock
 	// pools holds the pools of the services in force.
 	pools *poolTable
 	// roleChanges holds the engines that change their role, by server ID.
@@ -133,6 +137,7 @@
 		limitPlain:  func(string, float64, bool) {},
 
 		schedulersChanged: func(time.Time) {},
+		schedulerLeft:     func(string) {},
 		peerEnds:          map[string]*[feedCount]int64{},
 	}
 	c.serversReplica.end.Store(hosting.NoOffset)
@@ -275,13 +280,26 @@
 		}
 	}
 	change := memberChange(c.live, a.Live)
+	before := c.routable
 	c.live, c.routable = a.Live, a.Routable
 	c.highCapacity = c.highCapacityMembers()
 	c.duties.updateRank(c.highCapacity, c.routable)
-	c.dirty = true
+	for _, vm := range before.IDs() {
+		if !c.routable.Contains(vm) {
+			c.noteLeft(vm)
+		}
+	}
 	c.events.Record(event.KindConfig, "members_changed", "", change...)
 }
 
+// noteLeft records that the process on another VM stops, has ended or was replaced. The
+// requests that wait for its scheduler are placed by those of the next view.
+func (c *control) noteLeft(vm string) {
+	if vm != c.vm {
+		c.left, c.dirty = append(c.left, vm), true
+	}
+}
+
 func (c *control) sendHeartbeat(a member.SendHeartbeat) {
 	c.heartbeatDue, c.heartbeatSent = false, time.Now()
 	heartbeat := &Heartbeat{
@@ -377,6 +395,10 @@
 	if changed {
 		c.schedulersChanged(now)
 	}
+	for _, vm := range c.left {
+		c.schedulerLeft(vm)
+	}
+	c.left = nil
 }
 
 // schedulersDiffer reports whether a pool of next had another scheduler in old.
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -230,6 +230,7 @@
 		for _, vm := range changed {
 			c.forgetPeerEnds(vm)
 			c.disconnect(vm)
+			c.noteLeft(vm)
 		}
 		if len(changed) > 0 {
 			c.schedulersChanged(now)
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -38,6 +38,7 @@
 var (
 	grantsByScheduler = metrics.NewCounter(`mimosakeel_edge_grants_total{by="scheduler"}`)
 	grantsFallback    = metrics.NewCounter(`mimosakeel_edge_grants_total{by="fallback"}`)
+	grantsMoved       = metrics.NewCounter("mimosakeel_edge_grants_moved_total")
 	grantsRefused     = metrics.NewCounter("mimosakeel_edge_grants_refused_total")
 	serversUnreadable = metrics.NewCounter("mimosakeel_edge_servers_unreadable_total")
 	inboxDropped      = metrics.NewCounter("mimosakeel_edge_inbox_dropped_total")
@@ -60,7 +61,8 @@
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
-	waiting  map[string]chan grantAnswer
+	// waiting holds the requests that wait for an answer, by their ID.
+	waiting map[string]*waitingGrant
 	// backoffUntil holds the time until which a scheduler that did not answer gets
 	// no requests, by VM.
 	backoffUntil map[string]time.Time
@@ -85,12 +87,19 @@
 	reply *schedule.GrantReply
 }
 
+// waitingGrant is a request that waits for the answer of a scheduler.
+type waitingGrant struct {
+	// scheduler is the VM that has been asked.
+	scheduler string
+	answers   chan grantAnswer
+}
+
 func newGrantClient(vm, domain string) *grantClient {
 	return &grantClient{
 		vm:            vm,
 		domain:        domain,
 		serversFields: func() []event.Field { return nil },
-		waiting:       map[string]chan grantAnswer{},
+		waiting:       map[string]*waitingGrant{},
 		backoffUntil:  map[string]time.Time{},
 	}
 }
@@ -164,29 +173,47 @@
 	return poolRoute{}, false
 }
 
-// requestGrant returns a grant or a refusal from the pool's scheduler, or from
-// the scheduler of this daemon if that one doesn't answer in time. It also
-// returns the VM that decided.
+// requestGrant returns a grant or a refusal from the pool's scheduler, or from the
+// scheduler of this daemon if that one doesn't answer in time. A request whose
+// scheduler leaves or ends is placed by the next one. It also returns the VM that
+// decided.
 func (g *grantClient) requestGrant(ctx context.Context, route poolRoute, request pool.Request) (string, *schedule.GrantReply, error) {
 	scheduler := route.scheduler
 	if scheduler != g.vm && g.isBackedOff(scheduler) {
 		scheduler = g.vm
 	}
-	answers := g.registerRequest(request.ID)
+	wait := g.registerRequest(request.ID, scheduler)
 	defer g.unregisterRequest(request.ID)
 	g.send(scheduler, schedule.NewGrantRequest(route.name, request))
 	timeout := time.NewTimer(schedulerTimeout)
 	defer timeout.Stop()
+	ask := func(next string) {
+		g.send(scheduler, &schedule.GrantCancel{Pool: route.name, Request: request.ID})
+		scheduler = next
+		g.setScheduler(wait, next)
+		g.send(next, schedule.NewGrantRequest(route.name, request))
+	}
 	for {
 		select {
-		case a := <-answers:
+		case a := <-wait.answers:
 			if a.from != scheduler {
 				g.releaseReply(a)
 				continue
 			}
-			if a.reply.Kind == schedule.ReplyQueued {
+			switch a.reply.Kind {
+			case schedule.ReplyQueued:
 				timeout.Stop()
 				continue
+			case schedule.ReplyMoved:
+				next, ok := g.nextScheduler(route, scheduler)
+				if !ok {
+					return "", nil, noServer(g.serversFields()...)
+				}
+				g.events.Record(event.KindFault, "scheduler_left", scheduler, event.F("pool", route.name), event.F("next", next))
+				grantsMoved.Inc()
+				ask(next)
+				timeout.Reset(schedulerTimeout)
+				continue
 			}
 			if scheduler == route.scheduler {
 				grantsByScheduler.Inc()
@@ -199,10 +226,8 @@
 			g.backOff(scheduler)
 			g.events.Record(event.KindFault, "scheduler_silent", scheduler, event.F("pool", route.name),
 				event.F("after", schedulerTimeout.String()), event.F("not_asked_for", schedulerBackoff.String()))
-			g.send(scheduler, &schedule.GrantCancel{Pool: route.name, Request: request.ID})
-			scheduler = g.vm
 			grantsFallback.Inc()
-			g.send(scheduler, schedule.NewGrantRequest(route.name, request))
+			ask(g.vm)
 		case <-ctx.Done():
 			g.send(scheduler, &schedule.GrantCancel{Pool: route.name, Request: request.ID})
 			return "", nil, ctx.Err()
@@ -210,6 +235,45 @@
 	}
 }
 
+// nextScheduler returns the VM that is asked after a scheduler that no longer schedules
+// the pool. It returns false if that was the last one.
+func (g *grantClient) nextScheduler(route poolRoute, left string) (string, bool) {
+	if left == g.vm {
+		return "", false
+	}
+	for _, pools := range g.view().pools {
+		for _, now := range pools {
+			if now.name == route.name && now.scheduler != left && now.scheduler != route.scheduler && !g.isBackedOff(now.scheduler) {
+				return now.scheduler, true
+			}
+		}
+	}
+	return g.vm, true
+}
+
+// schedulerLeft moves the requests that wait for the scheduler on a VM to another one,
+// because it stops, has ended or was restarted without them.
+func (g *grantClient) schedulerLeft(vm string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, w := range g.waiting {
+		if w.scheduler != vm {
+			continue
+		}
+		select {
+		case w.answers <- grantAnswer{from: vm, reply: &schedule.GrantReply{Request: id, Kind: schedule.ReplyMoved}}:
+		default:
+			g.events.Record(event.KindFault, "scheduler_left_unread", vm, event.F("request", id))
+		}
+	}
+}
+
+func (g *grantClient) setScheduler(w *waitingGrant, vm string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w.scheduler = vm
+}
+
 func (g *grantClient) isBackedOff(scheduler string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -274,25 +338,28 @@
 	g.send(t.scheduler, &schedule.Release{Pool: t.pool, Ticket: t.id, Down: down})
 }
 
-func (g *grantClient) registerRequest(request string) chan grantAnswer {
-	// Each of two schedulers sends at most a ReplyQueued and another reply.
-	answers := make(chan grantAnswer, 4)
+// maxWaitingAnswers is the number of answers that a request may have left unread. Each
+// scheduler sends at most a ReplyQueued and another reply, and may have left.
+const maxWaitingAnswers = 16
+
+func (g *grantClient) registerRequest(request, scheduler string) *waitingGrant {
+	w := &waitingGrant{scheduler: scheduler, answers: make(chan grantAnswer, maxWaitingAnswers)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.waiting[request] = answers
-	return answers
+	g.waiting[request] = w
+	return w
 }
 
 // unregisterRequest ends the wait of a request and releases the grants that it
 // did not use.
 func (g *grantClient) unregisterRequest(request string) {
 	g.mu.Lock()
-	answers := g.waiting[request]
+	w := g.waiting[request]
 	delete(g.waiting, request)
 	g.mu.Unlock()
 	for {
 		select {
-		case a := <-answers:
+		case a := <-w.answers:
 			g.releaseReply(a)
 		default:
 			return
@@ -314,12 +381,12 @@
 func (g *grantClient) passOn(a grantAnswer) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	answers, ok := g.waiting[a.reply.Request]
+	w, ok := g.waiting[a.reply.Request]
 	if !ok {
 		return false
 	}
 	select {
-	case answers <- a:
+	case w.answers <- a:
 		return true
 	default:
 		return false
--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/dispatch"
+	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/pool"
 	"github.com/mimosakeel/mimosakeel/registry"
@@ -199,8 +206,100 @@
 	g.Expect(place.Ticket.(*ticket).id).To(Equal(pool.Ticket(1)))
 	g.Expect(f.released()).To(Equal(map[string][]pool.Ticket{"other": {7}}))
 
-	f.grants.registerRequest("ends")
+	f.grants.registerRequest("ends", "other")
 	f.grants.deliver("other", &schedule.GrantReply{Pool: "pool", Request: "ends", Kind: schedule.ReplyGranted, Granted: pool.Granted{Ticket: 8}})
 	f.grants.unregisterRequest("ends")
 	g.Expect(f.released()).To(Equal(map[string][]pool.Ticket{"other": {7, 8}}))
 }
+
+// Guards against a request that waits until its deadline because the daemon that has
+// it in its queue stops or ends, or never scheduled the pool.
+func TestQueuedRequestIsPlacedElsewhereWhenItsSchedulerLeaves(t *testing.T) {
+	for name, leave := range map[string]func(f *schedulerFake, id string){
+		"stops or ends": func(f *schedulerFake, _ string) { f.grants.schedulerLeft("other") },
+		"says so": func(f *schedulerFake, id string) {
+			f.grants.deliver("other", &schedule.GrantReply{Pool: "pool", Request: id, Kind: schedule.ReplyMoved})
+		},
+	} {
+		for _, next := range []string{"other", "third"} {
+			t.Run(fmt.Sprint(name, ", then ", next), func(t *testing.T) {
+				g := NewWithT(t)
+				f := newSchedulerFake(map[string]*registry.Server{"e": {ID: "e"}})
+				queued := make(chan string, 1)
+				f.grant = func(vm string, r *schedule.GrantRequest) (pool.Granted, bool) {
+					if vm != "other" {
+						return pool.Granted{Ticket: 1, Runner: "e"}, true
+					}
+					f.grants.deliver(vm, &schedule.GrantReply{Request: r.Request.ID, Kind: schedule.ReplyQueued})
+					queued <- r.Request.ID
+					return pool.Granted{}, false
+				}
+				go func() {
+					id := <-queued
+					time.Sleep(2 * schedulerTimeout)
+					f.grants.view = func() *view {
+						return &view{pools: map[string][]poolRoute{"llm": {{name: "pool", scheduler: next, shards: 1}}}}
+					}
+					leave(f, id)
+				}()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				place, err := f.grants.Place(ctx, engineRequest())
+				g.Expect(err).NotTo(HaveOccurred())
+				placedBy := map[string]string{"other": "self", "third": "third"}[next]
+				g.Expect(place.Ticket.(*ticket).scheduler).To(Equal(placedBy))
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				cancelled := slices.ContainsFunc(f.sent, func(s sentMessage) bool {
+					_, ok := s.message.(*schedule.GrantCancel)
+					return ok && s.vm == "other"
+				})
+				g.Expect(cancelled).To(BeTrue())
+			})
+		}
+	}
+}
+
+// Guards against a request that is asked for again and again when no daemon schedules
+// its pool.
+func TestRequestWithoutAnySchedulerIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := newSchedulerFake(nil)
+	f.grant = func(vm string, r *schedule.GrantRequest) (pool.Granted, bool) {
+		go f.grants.deliver(vm, &schedule.GrantReply{Request: r.Request.ID, Kind: schedule.ReplyMoved})
+		return pool.Granted{}, false
+	}
+	_, err := f.grants.Place(t.Context(), engineRequest())
+	var refused *dispatch.Failure
+	g.Expect(errors.As(err, &refused)).To(BeTrue())
+	g.Expect(refused.Run).To(Equal(backend.RunNever))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.Expect(len(f.sent)).To(BeNumerically("<=", 4))
+}
+
+// Guards against requests that stay with a daemon after it has announced a planned
+// stop, has ended, or was restarted.
+func TestControlTellsWhichSchedulersLeft(t *testing.T) {
+	g := NewWithT(t)
+	sc := newScaleControl(t, 3, 5, 1)
+	var left []string
+	sc.control.schedulerLeft = func(vm string) { left = append(left, vm) }
+	sc.handle(sc.now, peerMessage{from: "vm-1", message: &Heartbeat{Incarnation: "vm-1.a", Stopping: true}})
+	sc.settle()
+	g.Expect(left).To(ConsistOf("vm-1"))
+	sc.apply(feedMembers, hosting.KeyedRecord{Key: "vm-2", Value: encodeJSON(t, memberEntry{
+		Incarnation: "vm-2.b", Addr: "10.0.9.9:7", FailureDomain: "fd-2", Cores: 0.8, Certificate: strings.Repeat("cd", 32),
+	})})
+	g.Expect(left).To(ConsistOf("vm-1", "vm-2"))
+	left = nil
+	for range 2 * member.HeartbeatTimeout / tickInterval {
+		sc.now = sc.now.Add(tickInterval)
+		sc.memberActions(sc.members.Step(sc.now, member.Tick{}))
+	}
+	sc.settle()
+	g.Expect(left).To(ConsistOf("vm-2"))
+	sc.control.stop()
+	sc.settle()
+	g.Expect(left).NotTo(ContainElement("vm-0"), "requests of its own clients")
+}
