dispatch, edge: a planned stop answers every request that it has taken

What callers saw: requests that were sent in the 2.5 s after SIGTERM and still waited or ran at the end of the grace lost their channel without an answer, also those that must not run twice. Requests on channels that were opened before got no answer either: net/http drops what it reads after Shutdown.

Cause: the end of the grace ended the process, and nothing answered what was left. Nothing compared a late request's deadline with the time that remained.

Change: dispatch.Shutdown holds the times of a stop. Once new requests should no longer come, one is taken only if its deadline is before the end; 1 s before the end nothing is sent to servers any more, and what still waits is refused as not run (503, Retry-After); at the end the rest is answered as of unknown outcome (502). Streams that have begun are cut there, as before. Client channels are closed after their next answer instead of with Shutdown.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,6 +29,7 @@
 	Quarantine Quarantine
 	Usage      UsageCounter
 	Events     *event.Recorder
+	Shutdown   *Shutdown
 }
 
 // Serve runs attempts of a request until the client is answered or the request
@@ -36,8 +37,14 @@
 func (d *Dispatcher) Serve(ctx context.Context, r *Request, answer Answer) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	ctx, end := endWith(ctx, d.Shutdown.running)
+	defer end()
 	d.Budget.Arrived(r.Service.Name)
 	c := &call{Dispatcher: d, request: r, content: r.Content(), answer: answer, lastEventID: r.LastEvent}
+	if d.Shutdown.tooLate(r.Deadline) {
+		c.fail(stoppingFailure(backend.RunNever))
+		return
+	}
 	for {
 		switch out := c.attempt(ctx); {
 		case out.answered:
@@ -108,11 +115,14 @@
 		return c.afterFailure(ctx, failed)
 	}
 	asked := time.Now()
-	place, err := c.Scheduler.Place(ctx, PlacementRequest{Request: c.request, Avoid: c.avoid, Whole: c.prefilled, Resumed: c.started})
+	placing, end := endWith(ctx, c.Shutdown.placing)
+	place, err := c.Scheduler.Place(placing, PlacementRequest{Request: c.request, Avoid: c.avoid, Whole: c.prefilled, Resumed: c.started})
+	stopping := errors.Is(context.Cause(placing), errStopping)
+	end()
 	waited := time.Since(asked)
 	c.times.waited += waited
 	if err != nil {
-		return outcome{failure: c.placementFailure(ctx, err)}
+		return outcome{failure: c.placementFailure(ctx, err, stopping)}
 	}
 	c.attempts++
 	c.logPlaced(place, waited)
@@ -148,11 +158,14 @@
 const reasonClientLeft = "client_left"
 
 // placementFailure converts an error of Scheduler.Place to the failure of the
-// call.
-func (c *call) placementFailure(ctx context.Context, err error) *Failure {
+// call. stopping is set if the process stops and places no requests any more.
+func (c *call) placementFailure(ctx context.Context, err error, stopping bool) *Failure {
 	if ctx.Err() != nil {
 		return c.contextFailure(ctx)
 	}
+	if stopping {
+		return stoppingFailure(c.runState())
+	}
 	out := Failure{Reason: "not_placed"}
 	var refusal *Failure
 	if errors.As(err, &refusal) {
@@ -171,8 +184,11 @@
 }
 
 // contextFailure returns the failure of a call whose client closed its
-// connection or whose deadline passed.
+// connection, whose deadline passed, or that the process gives up because it stops.
 func (c *call) contextFailure(ctx context.Context) *Failure {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return stoppingFailure(c.runState())
+	}
 	f := &Failure{Run: c.runState(), Reason: reasonClientLeft}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		f.Reason, f.TimedOut = "deadline", true
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -186,7 +186,7 @@
 	}
 	events := event.NewRecorder(hlc.New(time.Now), "test", nil, logger)
 	defer events.Close()
-	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Usage: f, Events: events}
+	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Usage: f, Events: events, Shutdown: NewShutdown()}
 	r := &Request{
 		ID: "r1", Customer: "acme", Route: &route, Service: &catalog.Service{Name: "s"},
 		Prompt: prompt, Deadline: time.Now().Add(time.Minute),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -131,6 +131,7 @@
 		Quarantine: guard,
 		Usage:      d,
 		Events:     cfg.Events,
+		Shutdown:   dispatch.NewShutdown(),
 	}
 	d.metrics = d.newMetrics()
 	return d
@@ -354,11 +355,11 @@
 
 // listen serves clients, the readiness check and, if configured, the metrics.
 // Errors of the servers arrive on failed.
-func (d *Daemon) listen() (clients *http.Server, failed chan error, err error) {
+func (d *Daemon) listen() (clients *clientServer, failed chan error, err error) {
 	failed = make(chan error, 3)
-	clients = &http.Server{Handler: d.ClientHandler(d)}
+	clients = newClientServer(d.ClientHandler(d))
 	servers := map[string]*http.Server{
-		d.Settings.Clients:   clients,
+		d.Settings.Clients:   clients.Server,
 		d.Settings.Readiness: {Handler: http.HandlerFunc(d.readiness)},
 	}
 	if addr := d.Settings.Metrics; addr != "" {
@@ -369,6 +370,9 @@
 		if err != nil {
 			return nil, nil, eris.Wrapf(err, "listen on %s", addr)
 		}
+		if server == clients.Server {
+			clients.listener = listener
+		}
 		go func() { failed <- server.Serve(listener) }()
 	}
 	return clients, failed, nil
@@ -414,29 +418,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-const (
-	// drainAcceptTime is the time for which a stopping daemon still accepts
-	// connections and requests. The load balancer removes it after two failed
-	// checks, a second apart.
-	drainAcceptTime = 2500 * time.Millisecond
-	// drainReserve is the part of the stop grace that remains for the exit of the
-	// process.
-	drainReserve = 500 * time.Millisecond
-)
-
-// drain carries out a planned stop. The daemon turns not ready and releases the
-// lease, serves new requests for a while, then closes idle connections and waits
-// for the requests in progress.
-func (d *Daemon) drain(server *http.Server) {
-	begin := time.Now()
-	d.stopping.Store(true)
-	d.control.emit(stopRequested{})
-	d.Events.Record(event.KindConfig, "stopping", d.control.incarnation)
-	time.Sleep(min(drainAcceptTime, d.Settings.StopGrace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(d.Settings.StopGrace-drainReserve))
-	defer cancel()
-	err := server.Shutdown(ctx)
-	d.Events.Record(event.KindConfig, "stopped", d.control.incarnation,
-		event.F("took", time.Since(begin).String()), event.F("cut", formatInt(d.active.Load())), event.F("error", errorText(err)))
-}
