edge, platform: a usage report names its window by number

Cause: the daemon handed over the start of a window in whole Unix seconds, and the adapter divided it by the length again. Each start that is not a whole second became that of the window before.

Change: the edge daemon reports windows by their number, in a type of its own (UsageReport); the adapter passes it on and no longer knows the length. The product's own platform keeps starts in whole seconds; its settings accept no other lengths (settings/validate.go). No other place of the edge daemon rounds a time to seconds (searched for Unix, Seconds and divisions).

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -57,6 +57,25 @@
 	}
 )
 
+// UsageReport is the usage of one window by customer.
+type UsageReport struct {
+	Window metering.Window
+	Counts metering.Counts
+	// Fence is the fencing token, Reporter the VM that sends the report.
+	Fence    int64
+	Reporter string
+	// Check runs immediately before the first byte is written; if it fails, nothing
+	// is sent. The platform may not check the fencing token.
+	Check func() error
+}
+
+// UsageReports accepts usage reports, one per window.
+type UsageReports interface {
+	// Report fails with *hosting.StaleFenceError if the platform has accepted a higher
+	// fencing token.
+	Report(ctx context.Context, report UsageReport) (hosting.Outcome, error)
+}
+
 // heldLease is the term that this daemon holds and its expiry. Goroutines check
 // it immediately before they act under the term.
 type heldLease struct {
@@ -73,7 +92,7 @@
 	incarnation string
 	topics      hosting.Topics
 	topic       hosting.Topic
-	usage       hosting.Usage
+	usage       UsageReports
 	settings    UsageSettings
 	events      *event.Recorder
 	emit        func(any)
@@ -371,15 +390,7 @@
 func (d *duties) sendReport(term int64, c metering.Closed) {
 	ctx, cancel := context.WithTimeout(d.ctx, reportTimeout)
 	defer cancel()
-	report := hosting.UsageReport{
-		Window:   c.Window.Start(d.settings.Window).Unix(),
-		Fence:    term,
-		Reporter: d.vm,
-		Check:    d.termCheck(term),
-	}
-	for customer, n := range c.Counts {
-		report.Figures = append(report.Figures, hosting.UsageFigure{Customer: customer, Requests: n})
-	}
+	report := UsageReport{Window: c.Window, Counts: c.Counts, Fence: term, Reporter: d.vm, Check: d.termCheck(term)}
 	outcome, err := d.usage.Report(ctx, report)
 	d.emit(usageReported{window: c.Window, outcome: outcome, err: err})
 }
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -20,17 +20,17 @@
 // usageFake accepts and stores all usage reports.
 type usageFake struct {
 	mu      sync.Mutex
-	reports []hosting.UsageReport
+	reports []UsageReport
 }
 
-func (u *usageFake) Report(_ context.Context, r hosting.UsageReport) (hosting.Outcome, error) {
+func (u *usageFake) Report(_ context.Context, r UsageReport) (hosting.Outcome, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.reports = append(u.reports, r)
 	return hosting.OutcomeDone, nil
 }
 
-func (u *usageFake) requests(window int64) (n int, reported bool) {
+func (u *usageFake) requests(window metering.Window) (n int, reported bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, r := range u.reports {
@@ -38,8 +38,8 @@
 			continue
 		}
 		reported = true
-		for _, f := range r.Figures {
-			n += int(f.Requests)
+		for _, count := range r.Counts {
+			n += int(count)
 		}
 	}
 	return n, reported
@@ -113,10 +113,10 @@
 			h.ledger.Merge("vm-2.a", map[metering.Window]metering.Counts{ended: {"acme": 325}})
 		}
 	}, func() bool {
-		_, reported := h.usage.requests(ended.Start(time.Second).Unix())
+		_, reported := h.usage.requests(ended)
 		return reported
 	})
-	n, reported := h.usage.requests(ended.Start(time.Second).Unix())
+	n, reported := h.usage.requests(ended)
 	g.Expect(reported).To(BeTrue())
 	g.Expect(n).To(Equal(325))
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,7 +51,7 @@
 	Topics   hosting.Topics
 	Source   Source
 	Backends dispatch.Backends
-	Usage    hosting.Usage
+	Usage    UsageReports
 	Capacity hosting.Capacity
 	Engines  EngineOrders
 	// Dial opens connections to backend servers.
