edge: readers of a topic tell all daemons how fresh their copy is

Cause: a daemon reads a topic itself once its copy is older than a threshold. The threshold had to exceed what heartbeats need: the readers' wait of 0.8 s plus 0.5 s for each round. Up to nine daemons that was 1.5 s, from ten on 2.5 s, from 65 on 3.0 s, more than or as long as the time within which a record must take effect.

Change: the readers of the configuration and of the list of servers tell every daemon at least each 0.8 s how fresh their copy is, so that the threshold is 1.5 s for any number of daemons. The records themselves still go with heartbeats. In a full mesh (up to nine daemons) nothing is added.

Tests: TestDaemonsReadTheStoreSoonAfterTheReadersFail failed before for 10, 12, 64 and 300 daemons.

--- a/edge/control.go
+++ b/edge/control.go
@@ -328,6 +328,8 @@
 		c.duties.ledger.NoteClosed(m.Closed)
 	case *Push:
 		c.applyPush(now, ev.from, m)
+	case *FeedNotice:
+		c.applyNotice(now, m)
 	case *CrashReport:
 		c.quarantine.crashed(now, m)
 	case *ServedInquiry:
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -18,6 +18,9 @@
 	// staleAfter is the age of a replica after which a daemon reads the topic
 	// itself. It exceeds the readers' maximum wait plus one heartbeat interval.
 	staleAfter = 1500 * time.Millisecond
+	// noticeInterval is the minimum time between two notices of a reader. It is below
+	// the readers' maximum wait.
+	noticeInterval = 600 * time.Millisecond
 	// unavailableMargin is the further time after which the store counts as
 	// unavailable. A daemon that reads the topic itself gets an answer within it.
 	unavailableMargin = 700 * time.Millisecond
@@ -50,6 +53,9 @@
 	// peer had announced.
 	pulled    time.Time
 	pulledEnd int64
+	// read is the time of the last page that this daemon has read from the store, and
+	// noticed that of its last notice.
+	read, noticed time.Time
 	// gap is set if a peer couldn't send all records that the replica lacks. Only the
 	// store can.
 	gap bool
@@ -94,10 +100,14 @@
 	return int(math.Ceil(math.Log(float64(daemons)) / math.Log(member.MaxPeers)))
 }
 
+// noticed reports whether the readers of a feed send notices to all daemons. The time
+// within which its records must take effect doesn't depend on the number of daemons.
+func (id feedID) noticed() bool { return id == feedConfig || id == feedServers }
+
 // readThreshold returns the age of a replica after which one of n daemons reads
-// the topic itself. One lost heartbeat on the way from a reader stays below it.
-func readThreshold(n int) time.Duration {
-	if n <= member.MaxPeers+1 {
+// the topic itself. What the readers tell the others stays below it.
+func readThreshold(id feedID, n int) time.Duration {
+	if id.noticed() || n <= member.MaxPeers+1 {
 		return staleAfter
 	}
 	return staleAfter + time.Duration(gossipRounds(n))*member.HeartbeatInterval
@@ -107,13 +117,16 @@
 // unavailable: neither this daemon nor a peer has refreshed the list of servers
 // within the threshold plus unavailableMargin.
 func (c *control) tickFeeds(now time.Time) {
-	limit := readThreshold(c.live.Len())
 	for id, f := range c.feeds {
 		reader := false
 		for _, vm := range c.highCapacity.Ranks("read/"+f.topic.String(), readersPerTopic) {
 			reader = reader || vm == c.vm
 		}
+		if reader && feedID(id).noticed() {
+			c.sendNotice(now, feedID(id))
+		}
 		age := now.Sub(f.replica.Fresh())
+		limit := readThreshold(feedID(id), c.live.Len())
 		longest := limit + f.follower.wait - followWait
 		f.follower.setEnabled(reader || f.gap || f.replica.End() == hosting.NoOffset || age > longest)
 		if feedID(id) == feedServers && f.replica.End() != hosting.NoOffset {
@@ -123,6 +136,35 @@
 	}
 }
 
+// sendNotice tells all daemons how fresh the replica of a reader is, so that none reads
+// the topic itself although heartbeats take several rounds. In a full mesh heartbeats
+// suffice.
+func (c *control) sendNotice(now time.Time, id feedID) {
+	f := c.feeds[id]
+	if c.live.Len() <= member.MaxPeers+1 || !f.read.After(f.noticed) || now.Sub(f.noticed) < noticeInterval {
+		return
+	}
+	state := c.feedStates(now)[id]
+	if state.End == hosting.NoOffset {
+		return
+	}
+	f.noticed = now
+	for _, vm := range c.live.IDs() {
+		if vm != c.vm {
+			c.send(vm, &FeedNotice{Feed: int(id), State: state})
+		}
+	}
+}
+
+// applyNotice applies a reader's notice. Records that this daemon lacks reach it with
+// heartbeats.
+func (c *control) applyNotice(now time.Time, m *FeedNotice) {
+	if m.Feed < 0 || m.Feed >= len(c.feeds) || m.State.End == hosting.NoOffset || m.State.Age < 0 {
+		return
+	}
+	c.feeds[m.Feed].replica.Refresh(m.State.End, now.Add(-m.State.Age))
+}
+
 // setStoreUnavailable records when the store becomes unavailable and available.
 func (c *control) setStoreUnavailable(now time.Time, unavailable bool) {
 	if unavailable == c.storeUnavailable {
@@ -141,7 +183,7 @@
 // applyPage applies a page that this daemon has read from the store.
 func (c *control) applyPage(now time.Time, ev feedPage) {
 	f := c.feeds[ev.feed]
-	f.gap = false
+	f.gap, f.read = false, now
 	if ev.feed == feedServers {
 		c.setStoreUnavailable(now, false)
 	}
--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -106,7 +106,7 @@
 // Guards against daemons that read a topic from the store although their peers keep
 // its replica fresh: with each of 300 daemons they would read it 400 times a second.
 func TestOnlyReadersReadTheStore(t *testing.T) {
-	for _, daemons := range []int{8, 62, 300} {
+	for _, daemons := range []int{8, 12, 62, 300} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := startGossip(t, daemons, 5)
@@ -130,8 +130,8 @@
 					}
 					time.Sleep(followWait)
 				}
-				t.Logf("replicas are up to %v old, the threshold is %v", oldest, readThreshold(daemons))
-				if oldest+member.HeartbeatInterval > readThreshold(daemons) {
+				t.Logf("replicas are up to %v old, the threshold is %v", oldest, readThreshold(feedServers, daemons))
+				if oldest+member.HeartbeatInterval > readThreshold(feedServers, daemons) {
 					t.Error("a single lost heartbeat makes daemons read the store")
 				}
 				if unneeded > 0 {
@@ -141,3 +141,56 @@
 		})
 	}
 }
+
+// Guards against withdrawn keys and removed servers that stay in use because both
+// readers of a topic get no answers: every other daemon must read it in time, whatever
+// the number of daemons.
+func TestDaemonsReadTheStoreSoonAfterTheReadersFail(t *testing.T) {
+	const (
+		// bound is the time within which a record takes effect in a small deployment, and
+		// readTime the part of it for one read and its effect.
+		bound    = 2 * time.Second
+		readTime = 300 * time.Millisecond
+	)
+	for _, daemons := range []int{3, 9, 10, 12, 64, 300} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := startGossip(t, daemons, 5)
+				defer n.stop()
+				for range 6 {
+					n.readersRead(feedConfig, feedServers)
+					time.Sleep(followWait)
+				}
+				// The next record is written just after the readers' last answer.
+				n.readersRead(feedConfig, feedServers)
+				time.Sleep(bound - readTime)
+				for _, id := range []feedID{feedConfig, feedServers} {
+					readers := n.readers(id)
+					for _, c := range n.daemons {
+						if !slices.Contains(readers, c.vm) && !c.feeds[id].follower.enabled.Load() {
+							t.Errorf("%s doesn't read %d after %v", c.vm, id, bound-readTime)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// readers returns the daemons that read a topic for the others.
+func (n *gossipNetwork) readers(id feedID) []string {
+	c := n.daemons[0]
+	return c.highCapacity.Ranks("read/"+c.feeds[id].topic.String(), readersPerTopic)
+}
+
+// readersRead lets the readers of topics get an answer without new records.
+func (n *gossipNetwork) readersRead(ids ...feedID) {
+	for _, id := range ids {
+		readers := n.readers(id)
+		for _, c := range n.daemons {
+			if slices.Contains(readers, c.vm) {
+				c.emit(feedPage{feed: id, page: hosting.KeyedPage{End: c.offsets[id]}})
+			}
+		}
+	}
+}
--- a/edge/message.go
+++ b/edge/message.go
@@ -24,6 +24,7 @@
 	kindPartsServed   peer.Kind = 39
 	kindQuarantined   peer.Kind = 40
 	kindServerLimit   peer.Kind = 41
+	kindFeedNotice    peer.Kind = 42
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -125,6 +126,15 @@
 // MessageKind implements peer.Message.
 func (*ServerLimit) MessageKind() peer.Kind { return kindServerLimit }
 
+// FeedNotice is sent by a reader of a topic to all daemons.
+type FeedNotice struct {
+	Feed  int       `cbor:"1,keyasint"`
+	State FeedState `cbor:"2,keyasint"`
+}
+
+// MessageKind implements peer.Message.
+func (*FeedNotice) MessageKind() peer.Kind { return kindFeedNotice }
+
 // Pull asks a peer for the records that the sender lacks.
 type Pull struct {
 	// Ends holds for each feed the offset from which on the sender lacks records.
@@ -156,6 +166,8 @@
 		return &Pull{}
 	case kindPush:
 		return &Push{}
+	case kindFeedNotice:
+		return &FeedNotice{}
 	case kindRolesChanging:
 		return &RolesChanging{}
 	case kindCounts:
