platform: a truncated page ends after its last record, whatever it holds

The store truncates long answers; they are complete up to their last record. The follower took the last record that could be decoded for that. If another program's records without a whole key filled the page, no record was left, and the copy counted as complete up to the end of the topic: all records behind them, removals of servers too, were skipped. Found while checking the report of operators that an odd entry stopped machines from following the list.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -125,10 +125,6 @@
 	if err != nil {
 		return err
 	}
-	if n := len(page.Records); n > 0 {
-		// The store truncates long answers. They are complete up to the last record.
-		page.End = page.Records[n-1].Offset + 1
-	}
 	if page.End < from {
 		// The answer lags behind the known records and holds nothing new.
 		return nil
--- a/hosting/topic.go
+++ b/hosting/topic.go
@@ -53,7 +53,7 @@
 
 // KeyedPage is the answer to a read of a keyed topic.
 type KeyedPage struct {
-	// End is the offset that the next record will get.
+	// End is the offset from which on the topic is to be read further.
 	End int64
 	// Records are in offset order.
 	Records []KeyedRecord
