edge, platform: the daemon keeps to the memory of its VM

Operators reported that runners which send bytes without end took a machine's memory, and the requests of all its clients with it. It can happen here: the bytes that are kept are bounded for large answers (24 MB), but each request may keep 64 KB beside them, and the garbage collector lets the heap grow to twice what is in use.

--- a/edge/settings.go
+++ b/edge/settings.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -36,6 +37,10 @@
 	// Cores is the processor time that the VM gives the daemon. Unit: cores.
 	// Default: 1.
 	Cores float64 `json:"cores"`
+	// MemoryMB is the memory of the VM. A process that exceeds it is killed, so the
+	// daemon collects garbage more often as it comes near; 0 for no such bound. Unit: MB.
+	// Default: 0.
+	MemoryMB float64 `json:"memory_mb"`
 	// StopGrace is the time from a request to stop until the process is killed.
 	// Unit: duration. Default: 8s.
 	StopGrace time.Duration `json:"stop_grace"`
@@ -133,6 +138,20 @@
 	}
 }
 
+// memoryShare is the part of the VM's memory that the Go runtime may use before it
+// collects garbage more often. The rest is for the program itself and for what is
+// allocated while a collection runs.
+const memoryShare = 0.62
+
+// MemoryLimit returns the soft memory limit of the Go runtime in bytes; it is the
+// maximum if the settings name no memory.
+func (s *Settings) MemoryLimit() int64 {
+	if s.MemoryMB <= 0 {
+		return math.MaxInt64
+	}
+	return int64(min(s.MemoryMB*memoryShare*1e6, math.MaxInt64/2))
+}
+
 // LoadSettings reads and validates a settings file. The error is
 // strictjson.Problems if the file could be read.
 func LoadSettings(path string) (Settings, error) {
@@ -188,6 +207,9 @@
 			d.Report(name, "must be positive")
 		}
 	}
+	if s.MemoryMB < 0 {
+		d.Report("memory_mb", "must not be negative")
+	}
 	if s.Retry.Ratio < 0 {
 		d.Report("retry.ratio", "must not be negative")
 	}
