--- a/edge/snapshot_test.go
+++ b/edge/snapshot_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/registry"
 )
@@ -94,7 +95,12 @@
 	push.Feeds[feedServers] = FeedRecords{Records: []hosting.KeyedRecord{latest}, From: 7, Base: 2, End: 8, Total: 8}
 	started.handle(started.now, peerMessage{from: "vm-1", message: push})
 	g.Expect(started.feeds[feedServers].replica.End()).To(Equal(hosting.NoOffset))
-	g.Expect(started.feeds[feedServers].gap).To(BeTrue(), "the daemon reads the topic itself")
+	started.feeds[feedServers].replica.Reset(hosting.KeyedPage{End: 1})
+	started.feeds[feedServers].replica.Refresh(1, started.now)
+	started.handle(started.now, peerMessage{from: "vm-1", message: push})
+	started.highCapacity = member.NewSet(nil)
+	started.tickFeeds(started.now)
+	g.Expect(started.feeds[feedServers].follower.enabled.Load()).To(BeTrue(), "the daemon reads the topic itself")
 }
 
 // Guards against a list of servers that no peer can send in one push, so that a daemon
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -128,6 +128,33 @@
 	g.Expect(r.Apply([]hosting.KeyedRecord{put(hosting.Position(2, 0), "old", "1")}, hosting.Position(2, 1))).To(HaveLen(1))
 }
 
+// Guards against a key that stays in the copy because another copy knows an older
+// removal of it, but not that it was written and removed again.
+func TestOldRemovalDoesNotHideALaterOne(t *testing.T) {
+	g := NewWithT(t)
+	r := New(nil)
+	r.Apply([]hosting.KeyedRecord{drop(0, "a"), put(1, "a", "1")}, 2)
+	changed, _ := r.Replace(Section{Records: []hosting.KeyedRecord{drop(0, "a")}, From: hosting.NoOffset, Base: 3, End: 3, Total: 3})
+	g.Expect(changed).To(ConsistOf(drop(2, "a")))
+	g.Expect(values(r)).To(BeEmpty())
+}
+
+// Guards against a copy that counts as fresh although it has only a part of another
+// copy, and against a section that leaves records out.
+func TestPartOfACopyIsNotFresh(t *testing.T) {
+	g := NewWithT(t)
+	r := New(nil)
+	now := time.Unix(1000, 0)
+	g.Expect(r.Fit(Section{From: 3, End: 5, Total: 5})).To(Equal(FitGap))
+	r.Continue(Section{Records: []hosting.KeyedRecord{put(1, "a", "1")}, From: hosting.NoOffset, Base: 1, End: 2, Total: 5})
+	r.Refresh(2, now)
+	g.Expect(r.Fresh().IsZero()).To(BeTrue())
+	g.Expect(r.Fit(Section{From: 3, End: 5, Total: 5})).To(Equal(FitGap))
+	r.Continue(Section{Records: []hosting.KeyedRecord{put(4, "a", "2")}, From: 2, Base: 1, End: 5, Total: 5})
+	r.Refresh(5, now)
+	g.Expect(r.Fresh()).To(Equal(now))
+}
+
 // topicModel is a topic of the store: all of its records, of which reads of the newest
 // ones show no removals.
 type topicModel []hosting.KeyedRecord
