edge: a daemon that joins is in the next view

After a daemon had joined, the others went by the members of before until anything else changed: requests did not go to the schedulers that it had become.

TestDaemonThatJoinsIsInTheNextView failed before.

Also: the method that says whether readers send notices no longer has the name of a field.

--- a/edge/control.go
+++ b/edge/control.go
@@ -284,6 +284,7 @@
 	c.live, c.routable = a.Live, a.Routable
 	c.highCapacity = c.highCapacityMembers()
 	c.duties.updateRank(c.highCapacity, c.routable)
+	c.dirty = true
 	for _, vm := range before.IDs() {
 		if !c.routable.Contains(vm) {
 			c.noteLeft(vm)
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -100,14 +100,14 @@
 	return int(math.Ceil(math.Log(float64(daemons)) / math.Log(member.MaxPeers)))
 }
 
-// noticed reports whether the readers of a feed send notices to all daemons. The time
+// sendsNotices reports whether the readers of a feed send notices to all daemons. The time
 // within which its records must take effect doesn't depend on the number of daemons.
-func (id feedID) noticed() bool { return id == feedConfig || id == feedServers }
+func (id feedID) sendsNotices() bool { return id == feedConfig || id == feedServers }
 
 // readThreshold returns the age of a replica after which one of n daemons reads
 // the topic itself. What the readers tell the others stays below it.
 func readThreshold(id feedID, n int) time.Duration {
-	if id.noticed() || n <= member.MaxPeers+1 {
+	if id.sendsNotices() || n <= member.MaxPeers+1 {
 		return staleAfter
 	}
 	return staleAfter + time.Duration(gossipRounds(n))*member.HeartbeatInterval
@@ -122,7 +122,7 @@
 		for _, vm := range c.highCapacity.Ranks("read/"+f.topic.String(), readersPerTopic) {
 			reader = reader || vm == c.vm
 		}
-		if reader && feedID(id).noticed() {
+		if reader && feedID(id).sendsNotices() {
 			c.sendNotice(now, feedID(id))
 		}
 		age := now.Sub(f.replica.Fresh())
--- a/edge/members_test.go
+++ b/edge/members_test.go
@@ -121,3 +121,14 @@
 	g.Expect(c.servers.Load().server("i-6")).NotTo(BeNil())
 	g.Expect(c.servers.Load().server("i-bad")).To(BeNil())
 }
+
+// Guards against requests that go by the members of before, because nothing else has
+// changed since a daemon joined.
+func TestDaemonThatJoinsIsInTheNextView(t *testing.T) {
+	g := NewWithT(t)
+	sc := newScaleControl(t, 2, 5, 1)
+	g.Expect(sc.view.Load().live.Contains("vm-2")).To(BeFalse())
+	sc.apply(feedMembers, memberOf(t, 2, "a"))
+	g.Expect(sc.view.Load().live.Contains("vm-2")).To(BeTrue())
+	g.Expect(sc.view.Load().routable.Contains("vm-2")).To(BeTrue())
+}
