--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -20,8 +20,8 @@
 // errStopping is the cause of a context that ends because the process stops.
 var errStopping = eris.New("the process stops")
 
-// ShutdownTimes are the times of a planned stop. Every request that is taken gets an
-// answer before End, unless it is a stream that has begun.
+// ShutdownTimes are the times of a planned stop. Every request that is taken is answered
+// by End, unless it is a stream that has begun.
 type ShutdownTimes struct {
 	// AcceptUntil is the time from which on only requests are taken whose deadline is
 	// before End. Until then, clients may not know of the stop.
