--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,8 +159,8 @@
 		topics := newMemoryTopics()
 		topics.put("known")
 		events := event.NewRecorder(hlc.New(time.Now), "test", nil, zerolog.Nop())
-		var last time.Time
-		f := newFollower(topics, hosting.Topic{Name: "t"}, events, func(hosting.KeyedPage, bool) { last = time.Now() })
+		var last atomic.Int64
+		f := newFollower(topics, hosting.Topic{Name: "t"}, events, func(hosting.KeyedPage, bool) { last.Store(time.Now().UnixNano()) })
 		f.setKnownEnd(1)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -169,7 +170,7 @@
 			begin := time.Now()
 			time.Sleep(within)
 			synctest.Wait()
-			if last.Before(begin) {
+			if last.Load() < begin.UnixNano() {
 				t.Errorf("no answer within %v of %s", within, what)
 			}
 		}
