edge: daemons share the rate of failed reads of the store

Each daemon repeated a failed read of each of four topics five times a second. While the store turned calls away for 8 s, 65 to 89 daemons made 10,000 to 12,000 calls instead of 3,000 to 4,000.

The pause after a failed read now doubles up to a limit that grows with the number of daemons, so that all together make 50 failed reads of a topic a second. The two readers of a topic keep the short pause, and a success resets it. Deployments of up to ten daemons behave as before.

TestManyDaemonsRepeatFailedReadsSlowly: 2,650 refused reads before, at most 805 allowed; the store's return is noticed within the same 0.4 s.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -125,6 +125,7 @@
 		if reader && feedID(id).sendsNotices() {
 			c.sendNotice(now, feedID(id))
 		}
+		f.follower.retryLimit.Store(int64(readRetryLimit(reader, c.live.Len())))
 		age := now.Sub(f.replica.Fresh())
 		limit := readThreshold(feedID(id), c.live.Len())
 		longest := limit + f.follower.wait - followWait
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -22,6 +22,13 @@
 	quarantineWait = 8 * time.Second
 	// followRetry is the mean pause after a failed read.
 	followRetry = 200 * time.Millisecond
+	// failedReadsPerSecond bounds the failed reads of a topic by all daemons together.
+	// While a store refuses calls, more of them don't show its return sooner: the first
+	// daemon that can read tells the others.
+	failedReadsPerSecond = 50
+	// maxFollowRetry bounds the mean pause of a daemon between failed reads. A daemon
+	// without connections to others depends on its own reads.
+	maxFollowRetry = 1500 * time.Millisecond
 	// followTimeout is the time beyond followWait after which a read fails.
 	followTimeout = 700 * time.Millisecond
 )
@@ -43,14 +50,27 @@
 	wake    chan struct{}
 	// knownEnd is the end offset of the known records, including those from peers.
 	knownEnd atomic.Int64
+	// retryLimit is the mean pause in nanoseconds up to which the pause after failed
+	// reads grows.
+	retryLimit atomic.Int64
 	// trimmed is set if the store no longer has the records from knownEnd on.
 	trimmed bool
 	failed  bool
 }
 
+// readRetryLimit returns the mean pause up to which one of n daemons increases its pause
+// after failed reads of a topic. The readers of a topic keep to the shortest one.
+func readRetryLimit(reader bool, n int) time.Duration {
+	if reader {
+		return followRetry
+	}
+	return min(max(followRetry, time.Duration(n)*time.Second/failedReadsPerSecond), maxFollowRetry)
+}
+
 func newFollower(topics hosting.Topics, topic hosting.Topic, events *event.Recorder, onPage func(hosting.KeyedPage, bool)) *follower {
 	f := &follower{topics: topics, topic: topic, events: events, wait: followWait, onPage: onPage, wake: make(chan struct{}, 1)}
 	f.knownEnd.Store(hosting.NoOffset)
+	f.retryLimit.Store(int64(followRetry))
 	return f
 }
 
@@ -71,7 +91,7 @@
 func (f *follower) run(ctx context.Context) {
 	// The first read, and those after a failure, don't wait for new records: their
 	// answer shows that the store can be read and that there are none.
-	wait := time.Duration(0)
+	wait, pause := time.Duration(0), followRetry
 	for ctx.Err() == nil {
 		if !f.enabled.Load() {
 			wait = 0
@@ -86,11 +106,13 @@
 			return
 		}
 		f.recordTransition(err)
-		wait = f.wait
-		if err != nil {
-			wait = 0
-			sleep(ctx, followRetry/2+rand.N(followRetry))
+		if err == nil {
+			wait, pause = f.wait, followRetry
+			continue
 		}
+		wait = 0
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, time.Duration(f.retryLimit.Load()))
 	}
 }
 
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -25,6 +25,8 @@
 	// history is the history of the positions that Put returns.
 	history int64
 	down    bool
+	// refused is the number of reads that have failed because down is set.
+	refused int
 	changed chan struct{}
 }
 
@@ -69,6 +71,9 @@
 		m.mu.Lock()
 		changed, end := m.changed, int64(len(m.records))
 		records, first, down := m.records, m.first, m.down
+		if down {
+			m.refused++
+		}
 		m.mu.Unlock()
 		switch {
 		case down:
@@ -92,6 +97,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
+		m.refused++
 		return hosting.KeyedPage{}, errDown
 	}
 	return hosting.KeyedPage{End: int64(len(m.records)), Records: m.records}, nil
@@ -189,3 +195,40 @@
 		events.Close()
 	})
 }
+
+// Guards against a store that is kept busy by refused calls: each of many daemons
+// repeated a failed read five times a second. The first daemon must still notice the
+// store's return as soon as a single one would.
+func TestManyDaemonsRepeatFailedReadsSlowly(t *testing.T) {
+	const daemons, outage = 65, 8 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		topics := newMemoryTopics()
+		topics.down = true
+		events := event.NewRecorder(hlc.New(time.Now), "test", nil, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var answered atomic.Int64
+		for i := range daemons {
+			f := newFollower(topics, hosting.Topic{Name: "t"}, events, func(hosting.KeyedPage, bool) { answered.Add(1) })
+			f.retryLimit.Store(int64(readRetryLimit(i < readersPerTopic, daemons)))
+			f.setEnabled(true)
+			running.Go(func() { f.run(ctx) })
+		}
+		time.Sleep(outage)
+		const growth = 5 // Failed reads of a daemon before its pause has grown.
+		readers := readersPerTopic * int(outage/followRetry)
+		refused := 0
+		topics.set(func() { refused, topics.down = topics.refused, false })
+		if limit := failedReadsPerSecond*int(outage.Seconds()) + growth*daemons + readers; refused > limit {
+			t.Errorf("%d reads were refused within %v, want at most %d", refused, outage, limit)
+		}
+		time.Sleep(2 * followRetry)
+		synctest.Wait()
+		if answered.Load() == 0 {
+			t.Errorf("no daemon noticed the store's return within %v", 2*followRetry)
+		}
+		cancel()
+		running.Wait()
+		events.Close()
+	})
+}
