edge: reads of the list of servers are 100 ms apart

A read returns with the first new record, and 60 servers write an entry each 1.2 s: each of the two readers made about 20 calls a second, and each record caused heartbeats of its own.

A daemon now starts its next read of the list of servers 100 ms after the last one, so that a read returns several records. The drain time of a server is 2 s and more.

TestSpacedReadsReturnSeveralRecords: 50 reads for 50 records before, at most 12 now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -399,6 +399,7 @@
 		feeds[id] = &feed{topic: topic, replica: replica.New(keep[feedID(id)]), follower: newFollower(d.Topics, topic, d.Events, read)}
 	}
 	feeds[feedQuarantine].follower.wait = quarantineWait
+	feeds[feedServers].follower.spacing = serverReadSpacing
 	return feeds
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -29,6 +29,11 @@
 	// maxFollowRetry bounds the mean pause of a daemon between failed reads. A daemon
 	// without connections to others depends on its own reads.
 	maxFollowRetry = 1500 * time.Millisecond
+	// serverReadSpacing is the minimum time between two reads of the list of servers by
+	// one daemon. Each server writes its entry about once a second, and a read returns
+	// with the first new record, so that reads without a pause return one record each.
+	// Leaving servers need to be known within the seconds of their drain time.
+	serverReadSpacing = 100 * time.Millisecond
 	// followTimeout is the time beyond followWait after which a read fails.
 	followTimeout = 700 * time.Millisecond
 )
@@ -41,6 +46,8 @@
 	events *event.Recorder
 	// wait is the maximum wait of one read.
 	wait time.Duration
+	// spacing is the minimum time between the starts of two reads.
+	spacing time.Duration
 	// onPage receives each page. If reset is set, the page holds the newest record
 	// of each key, which happens at the start and after records were trimmed.
 	// Otherwise it holds the records that follow the known ones, possibly none.
@@ -101,6 +108,7 @@
 			}
 			continue
 		}
+		begin := time.Now()
 		err := f.readOnce(ctx, wait)
 		if ctx.Err() != nil {
 			return
@@ -108,6 +116,7 @@
 		f.recordTransition(err)
 		if err == nil {
 			wait, pause = f.wait, followRetry
+			sleep(ctx, f.spacing-time.Since(begin))
 			continue
 		}
 		wait = 0
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -232,3 +232,34 @@
 		events.Close()
 	})
 }
+
+// Guards against a call to the store for each record: with a server's entry every 20 ms,
+// reads returned one record each. All records must still arrive within the spacing.
+func TestSpacedReadsReturnSeveralRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		topics := newMemoryTopics()
+		events := event.NewRecorder(hlc.New(time.Now), "test", nil, zerolog.Nop())
+		var reads, records atomic.Int64
+		f := newFollower(topics, hosting.Topic{Name: "t"}, events, func(page hosting.KeyedPage, _ bool) {
+			reads.Add(1)
+			records.Add(int64(len(page.Records)))
+		})
+		f.spacing = serverReadSpacing
+		f.setEnabled(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.run(ctx); close(done) }()
+		for range 50 {
+			topics.put("server")
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(serverReadSpacing)
+		synctest.Wait()
+		if reads.Load() > 12 || records.Load() != 50 {
+			t.Errorf("%d reads returned %d of 50 records in 1.1 s, want at most 12 reads", reads.Load(), records.Load())
+		}
+		cancel()
+		<-done
+		events.Close()
+	})
+}
