--- a/edge/customer_limits.go
+++ b/edge/customer_limits.go
@@ -122,7 +122,8 @@
 	decision := l.decide(ctx, customer.Name, limitsOf(customer.Limit), tokens)
 	if decision.Verdict != limit.Admitted {
 		customersRefused.Inc()
-		return nil, max(decision.RetryAfter, time.Millisecond), false
+		// Rounded up, because Retry-After has milliseconds.
+		return nil, max(decision.RetryAfter+time.Millisecond-1, time.Millisecond).Truncate(time.Millisecond), false
 	}
 	customersAdmitted.Inc()
 	return func(ran bool) {
@@ -151,8 +152,8 @@
 		if decision.Verdict != limit.Pending {
 			return decision
 		}
-		inTime := answered != nil && wait(ctx, answered, l.settings.HomeTimeout)
-		late := answered == nil || time.Since(began) >= l.settings.MaxWait
+		inTime := wait(ctx, answered, l.settings.HomeTimeout)
+		late := time.Since(began) >= l.settings.MaxWait
 		if inTime && !late {
 			continue
 		}
@@ -160,7 +161,7 @@
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.borrower.Abandon(customer, tokens)
-			return limit.Decision{Verdict: limit.Refused}
+			return limit.Decision{Verdict: limit.Refused, RetryAfter: l.settings.HomeTimeout}
 		}
 		if timeouts++; timeouts == 1 && !late {
 			// The next round asks the deputy.
@@ -173,8 +174,7 @@
 }
 
 // take decides from the slices. If the decision has to wait for the home or its
-// deputy, it also returns a channel that is closed at the next answer; nil if there is
-// no home.
+// deputy, it also returns a channel that is closed at the next answer.
 func (l *customerLimits) take(customer string, limits limit.Limits, tokens int, again bool) (limit.Decision, chan struct{}) {
 	home, deputy := homeAndDeputy(l.homes(), customer)
 	l.mu.Lock()
@@ -183,7 +183,7 @@
 	_, l.borrower.Daemons = l.daemons()
 	l.borrower.NoteHome(now, customer, home, deputy)
 	decision := l.borrower.Take(now, customer, limits, tokens, again)
-	if decision.Verdict != limit.Pending || home == "" {
+	if decision.Verdict != limit.Pending {
 		return decision, nil
 	}
 	answered := l.answered[customer]
--- a/limit/quota.go
+++ b/limit/quota.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // The rules for limits with a TokenBurst, under which a single request may need
@@ -154,7 +152,8 @@
 	if held >= need {
 		q.spend(need)
 		a.end(need, true)
-		return Decision{Verdict: Admitted, Ask: a.forCustomer(customer, a.renewQuota(now, held-need)), To: q.lender()}
+		to := q.lender(now)
+		return Decision{Verdict: Admitted, Ask: a.forCustomer(customer, a.renewQuota(now, to, held-need)), To: to}
 	}
 	if now.Before(q.retryAt) && need >= q.retryNeed {
 		a.end(need, false)
@@ -172,8 +171,8 @@
 	if q.awaiting(now) {
 		return Decision{Verdict: Pending}
 	}
-	req := a.newQuotaRequest(now, q.lender(), need, held)
-	return Decision{Verdict: Pending, Ask: a.forCustomer(customer, req), To: q.lender()}
+	to := q.lender(now)
+	return Decision{Verdict: Pending, Ask: a.forCustomer(customer, a.newQuotaRequest(now, to, need, held)), To: to}
 }
 
 // advance returns the tokens that may be used before the home is told of them. While
@@ -198,9 +197,10 @@
 	}
 }
 
-// lender returns the daemon to ask for tokens.
-func (q *quota) lender() string {
-	if q.silent && q.deputy != "" {
+// lender returns the daemon to ask for tokens. A silent home is asked again after
+// askInterval.
+func (q *quota) lender(now time.Time) string {
+	if q.silent && q.deputy != "" && now.Sub(q.probedAt) < askInterval {
 		return q.deputy
 	}
 	return q.home
@@ -216,12 +216,12 @@
 
 // renewQuota returns a request for further tokens if fewer remain than a quarter of
 // those that the next slice should hold, so that later requests need not wait.
-func (a *allowance) renewQuota(now time.Time, held float64) *SliceRequest {
+func (a *allowance) renewQuota(now time.Time, to string, held float64) *SliceRequest {
 	q := &a.quota
 	if held >= q.wanted(now)/4 || len(q.inFlight) > 0 || now.Before(q.retryAt) || now.Sub(q.askedAt) < askInterval {
 		return nil
 	}
-	return a.newQuotaRequest(now, q.lender(), 0, held)
+	return a.newQuotaRequest(now, to, 0, held)
 }
 
 // newQuotaRequest returns a request to the home or its deputy for what the waiting requests lack, of which one
@@ -324,7 +324,7 @@
 // awaiting reports whether the home may still answer a recent request.
 func (q *quota) awaiting(now time.Time) bool {
 	return slices.ContainsFunc(q.inFlight, func(s sentRequest) bool {
-		return s.to == q.lender() && now.Sub(s.at) < askInterval
+		return s.to == q.lender(now) && now.Sub(s.at) < askInterval
 	})
 }
 
@@ -377,7 +377,10 @@
 	switch covered := q.share.level >= need; {
 	case covered, last && b.draw()*need < q.share.level:
 		q.share.level = max(q.share.level-need, 0)
-		q.unsettled += need
+		// The home's level is bounded by the burst, so tokens used longer ago would not be
+		// missing there by now.
+		most := part.TokenBurst + part.tokenRate()*inFlightLifetime.Seconds()
+		q.unsettled = min(q.unsettled+need, max(q.unsettled, most))
 		a.end(need, true)
 		return Decision{Verdict: Admitted}
 	case !last:
@@ -450,193 +453,3 @@
 	req.Tokens = 0
 	return req
 }
-
-// loan is an amount that the home has lent to one daemon.
-type loan struct {
-	seq uint64
-	// tokens is the whole amount, extra the part beyond the needs of waiting requests.
-	tokens, extra float64
-	// expires is when the loan can no longer be used or returned.
-	expires time.Time
-}
-
-// Check returns an error if the amounts of a request are out of range.
-func (r *SliceRequest) Check() error {
-	amounts := []float64{r.Requests, r.Tokens, r.TokensMin, r.TokensDue, math.Abs(r.Debt)}
-	for _, given := range r.Returns {
-		amounts = append(amounts, given.Tokens)
-	}
-	amounts = append(amounts, r.Level, r.Held)
-	for _, v := range amounts {
-		if !(v >= 0 && v <= maxAmount) {
-			return eris.Errorf("amount %g is out of range", v)
-		}
-	}
-	if r.LevelAge < 0 {
-		return eris.Errorf("age %v of a level is negative", r.LevelAge)
-	}
-	if len(r.Returns) > maxReturns {
-		return eris.Errorf("%d returns, at most %d are allowed", len(r.Returns), maxReturns)
-	}
-	return nil
-}
-
-// Check returns an error if the amounts of a slice are out of range.
-func (s *Slice) Check() error {
-	if !(s.Tokens >= 0 && s.Tokens <= maxAmount && math.Abs(s.Level) <= maxAmount) {
-		return eris.Errorf("tokens %g or level %g is out of range", s.Tokens, s.Level)
-	}
-	if s.RetryAfter < 0 || s.Lifetime < 0 || s.Lifetime > quotaLifetime {
-		return eris.Errorf("retry time %v or lifetime %v is out of range", s.RetryAfter, s.Lifetime)
-	}
-	return nil
-}
-
-// Observe must be called at least every second, and before Lend. After a pause of
-// stallTime, in which another home may have lent the same limits, it forgets all
-// accounts and returns true.
-func (h *Home) Observe(now time.Time) bool {
-	stalled := !h.observedAt.IsZero() && now.Sub(h.observedAt) >= stallTime
-	h.observedAt = now
-	if stalled {
-		h.accounts = map[string]*account{}
-		h.ownershipChangedAt = now
-	}
-	if now.Sub(h.forgotAt) >= time.Second {
-		h.forgotAt = now
-		h.forgetDeputized(now)
-	}
-	return stalled
-}
-
-// forgetDeputized removes the accounts of homes that answer again.
-func (h *Home) forgetDeputized(now time.Time) {
-	for customer, a := range h.accounts {
-		if a.deputy && now.Sub(a.askedAt) >= deputyLifetime {
-			delete(h.accounts, customer)
-		}
-	}
-}
-
-// Deputize prepares the account of a customer for a request with Deputy, for which
-// this daemon stands in. It must be called before Lend.
-func (h *Home) Deputize(now time.Time, customer string) {
-	if h.accounts[customer] == nil {
-		h.accounts[customer] = &account{slices: map[string]*lentSlice{}, tokens: bucket{at: now}, deputy: true}
-	}
-}
-
-// deputize adds the latest level that the home has stated and returns the limits that the
-// deputy lends.
-func (a *account) deputize(now time.Time, req SliceRequest, limits Limits) Limits {
-	a.askedAt = now
-	if at := now.Add(-req.LevelAge); req.LevelAge > 0 && at.After(a.statedAt) {
-		level := min(req.Level, limits.tokenBurst())
-		a.tokens.level += level - a.stated
-		a.stated, a.statedAt = level, at
-	}
-	limits.TokensPerMinute *= deputyRate * (1 + min(a.stated/limits.tokenBurst(), 1))
-	return limits
-}
-
-// Retain removes the accounts of the other customers.
-func (h *Home) Retain(keep func(customer string) bool) {
-	for customer := range h.accounts {
-		if !keep(customer) {
-			delete(h.accounts, customer)
-		}
-	}
-}
-
-// Unlimited returns the answer to a request if the home knows no limit for the
-// customer: it grants what is needed.
-func Unlimited(req SliceRequest) Slice {
-	return Slice{Customer: req.Customer, Seq: req.Seq, Tokens: max(req.TokensMin, req.TokensDue), Lifetime: contendedLifetime}
-}
-
-// lendQuota answers a request under a limit with a TokenBurst.
-func (a *account) lendQuota(now time.Time, l *lentSlice, slice *Slice, req SliceRequest, limits Limits) {
-	a.lendsQuota = true
-	for _, given := range req.Returns {
-		a.takeBack(l, given)
-	}
-	a.noteHeld(l, req.Held)
-	// The tokens used without the home can't exceed what it would have lent.
-	a.tokens.level -= min(req.Debt, limits.tokenBurst()+limits.tokenRate()*inFlightLifetime.Seconds())
-	a.fillQuota(now, limits)
-	defer func() { slice.Level = max(a.tokens.level, 0) }()
-	burst := limits.tokenBurst()
-	// A request larger than the burst needs a full bucket and leaves a debt.
-	if need := min(req.TokensMin, burst); need > 0 && a.tokens.level < need {
-		slice.RetryAfter = a.tokens.timeUntil(need, limits.tokenRate())
-		return
-	}
-	due := max(req.TokensMin, min(req.TokensDue, a.tokens.level))
-	free := min(a.tokens.level-due-burst/2, limits.tokenRate()*extraTime.Seconds()-a.extras)
-	// Half of what is free is left to other daemons.
-	extra := max(min(req.Tokens, free/2), 0)
-	if due+extra <= 0 {
-		return
-	}
-	a.tokens.level -= due + extra
-	a.extras += extra
-	slice.Tokens, slice.Lifetime = due+extra, quotaLifetime
-	if a.tokens.level < burst/2 {
-		slice.Lifetime = contendedLifetime
-	}
-	if len(l.loans) == maxLoans {
-		a.extras -= l.loans[0].extra
-		l.loans = l.loans[1:]
-	}
-	l.loans = append(l.loans, loan{seq: req.Seq, tokens: due + extra, extra: extra, expires: now.Add(slice.Lifetime + returnGrace)})
-}
-
-// noteHeld notes that a daemon holds at most the given amount, so that its used extras
-// no longer count.
-func (a *account) noteHeld(l *lentSlice, held float64) {
-	for i := len(l.loans) - 1; i >= 0; i-- {
-		lent := &l.loans[i]
-		used := lent.extra - min(lent.extra, held)
-		lent.extra -= used
-		a.extras -= used
-		held -= lent.extra
-	}
-}
-
-func (a *account) takeBack(l *lentSlice, given Return) {
-	for i := range l.loans {
-		if lent := &l.loans[i]; lent.seq == given.Seq {
-			a.tokens.level += min(given.Tokens, lent.tokens)
-			a.extras -= lent.extra
-			lent.tokens, lent.extra = 0, 0
-			return
-		}
-	}
-}
-
-// fillQuota adds the tokens of the time since the last call. The level and the
-// extras in use together are at most burst + rate*extraTime.
-func (a *account) fillQuota(now time.Time, limits Limits) {
-	if now.Sub(a.sweptAt) >= sweepInterval {
-		a.sweptAt = now
-		a.sweep(now)
-	}
-	full := min(limits.tokenBurst(), limits.tokenBurst()+limits.tokenRate()*extraTime.Seconds()-a.extras)
-	a.tokens.fill(now, limits.tokenRate(), full)
-	a.tokens.level = min(a.tokens.level, full)
-}
-
-// sweep removes the expired loans.
-func (a *account) sweep(now time.Time) {
-	a.extras = 0
-	for _, l := range a.slices {
-		kept := l.loans[:0]
-		for _, lent := range l.loans {
-			if now.Before(lent.expires) && lent.tokens > 0 {
-				kept = append(kept, lent)
-				a.extras += lent.extra
-			}
-		}
-		l.loans = kept
-	}
-}
