--- a/edge/customer_limits_test.go
+++ b/edge/customer_limits_test.go
@@ -54,7 +54,9 @@
 		l.daemons = func() (int, int) { return daemons, daemons }
 		l.send = func(to string, m peer.Message) { net.send(vm, to, m) }
 		net.nodes[vm], net.inbox[vm] = l, make(chan peerMessage, 1000)
-		go net.control(ctx, l)
+	}
+	for vm, l := range net.nodes {
+		go net.control(ctx, l, net.inbox[vm])
 	}
 	return net, cancel
 }
@@ -70,14 +72,14 @@
 }
 
 // control runs what the control goroutine of a daemon does for the limits.
-func (n *limitNet) control(ctx context.Context, l *customerLimits) {
+func (n *limitNet) control(ctx context.Context, l *customerLimits, inbox chan peerMessage) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-n.inbox[l.vm]:
+		case m := <-inbox:
 			switch message := m.message.(type) {
 			case *SliceRequest:
 				l.lend(time.Now(), m.from, message)
