--- a/edge/customer_limits_test.go
+++ b/edge/customer_limits_test.go
@@ -245,3 +245,45 @@
 	l.receive("other", &Slice{limit.Slice{Customer: "acme", Seq: d.Ask.Seq, Tokens: 1000, Lifetime: time.Second}})
 	g.Expect(l.borrower.Take(time.Now(), "acme", limitsOf(customer.Limit), 10, true).Verdict).To(Equal(limit.Pending))
 }
+
+// Guards against two homes that lend the same limit: daemons that a home can't reach may
+// have one of their own, and a daemon that is not the home must not answer as one.
+func TestHomeLendsOnlyItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		net, stop := newLimitNet(t, 5, catalog.Config{Customers: []catalog.Customer{limitedCustomer(1000, true)}})
+		defer stop()
+		home, deputy := homeAndDeputy(net.homes, "acme")
+		l := net.nodes[home]
+		l.daemons = func() (int, int) { return 3, 6 }
+		g.Expect(l.limits("acme").TokenBurst).To(BeNumerically("~", 520, 0.1))
+		g.Expect(l.limits("acme").TokensPerMinute).To(BeNumerically("~", 31_200, 1))
+		answers := 0
+		for vm, node := range net.nodes {
+			node.send = func(string, peer.Message) { answers++ }
+			node.lend(time.Now(), "x", &SliceRequest{limit.SliceRequest{Customer: "acme", Seq: 1, TokensMin: 1, Deputy: vm != home && vm != deputy}})
+		}
+		g.Expect(answers).To(Equal(1))
+	})
+}
+
+// Guards against a request that leaves while it waits and is counted as waiting for ever,
+// so that the daemon borrows for it.
+func TestAbandonedRequestNoLongerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		customer := limitedCustomer(1000, true)
+		net, stop := newLimitNet(t, 2, catalog.Config{Customers: []catalog.Customer{customer}})
+		defer stop()
+		home, deputy := homeAndDeputy(net.homes, "acme")
+		net.setCut(home, true)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		_, _, ok := net.nodes[deputy].admit(ctx, &customer, 900)
+		g.Expect(ok).To(BeFalse())
+		net.setCut(home, false)
+		time.Sleep(time.Second)
+		d, _ := net.nodes[deputy].take("acme", limitsOf(customer.Limit), 20, false)
+		g.Expect(d.Ask.TokensDue).To(Equal(20.0))
+	})
+}
