--- a/edge/settings.go
+++ b/edge/settings.go
@@ -41,6 +41,10 @@
 	// daemon collects garbage more often as it comes near; 0 for no such bound. Unit: MB.
 	// Default: 0.
 	MemoryMB float64 `json:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the VM gives the daemon,
+	// which bounds the connections of clients; 0 for the limit of the process. Unit:
+	// descriptors. Default: 0.
+	MaxDescriptors int `json:"max_descriptors"`
 	// StopGrace is the time from a request to stop until the process is killed.
 	// Unit: duration. Default: 8s.
 	StopGrace time.Duration `json:"stop_grace"`
@@ -210,6 +214,9 @@
 	if s.MemoryMB < 0 {
 		d.Report("memory_mb", "must not be negative")
 	}
+	if s.MaxDescriptors < 0 {
+		d.Report("max_descriptors", "must not be negative")
+	}
 	if s.Retry.Ratio < 0 {
 		d.Report("retry.ratio", "must not be negative")
 	}
