ingress: one owner for the memory and the connections of clients

Clients that send heads of many short lines, heads without end, or bodies that stop short of their end made the daemon exceed the memory of its VM; silent ones used up its descriptors. No header or idle timeout was enforced.

Package ingress bounds both. A Gate wraps the listeners of edge and serve. Its connections follow the message boundaries of HTTP/1.x as bytes arrive, charge a head with the cost of its parsed form before net/http parses it, and enforce the limits and timeouts of the configuration, which may change at any time. Bodies are charged as they grow, answers while they are written. When the budget (0.33 of memory_mb) is exhausted, requests that stall or trickle and answers that nobody reads are closed first; without such, the request is refused with 503 and Retry-After before it runs. The number of connections follows max_descriptors (three quarters of what remains beside 200) and the budget. Readiness checks and metrics have connections of their own.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/mimosakeel/mimosakeel/gateway"
 	"github.com/mimosakeel/mimosakeel/hlc"
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/ingress"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/pool"
 	"github.com/mimosakeel/mimosakeel/record"
@@ -80,6 +81,7 @@
 	platform Platform
 	engines  *backend.Engines
 	services *backend.Services
+	ingress  *ingress.Gate
 	listener net.Listener
 	server   *http.Server
 	appends  map[string]*appender
@@ -104,6 +106,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "clients.listen %s", s.Clients.Listen)
 	}
+	ingressGate := newIngress(s.Clients, cfg.Events)
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s,
@@ -112,13 +115,15 @@
 		keys:     cfg.Keys,
 		engines:  backend.NewEngines(nil),
 		services: backend.NewServices(nil),
-		listener: listener,
+		ingress:  ingressGate,
+		listener: ingressGate.Listen(listener),
 		gate:     &freshnessGate{current: table.NewCurrent()},
 		ctx:      ctx,
 		stop:     stop,
 	}
 	if err := d.assemble(cfg); err != nil {
 		stop()
+		ingressGate.Close()
 		_ = listener.Close()
 		return nil, err
 	}
@@ -205,6 +210,8 @@
 		Handler:           d.handler(),
 		ReadHeaderTimeout: d.settings.Clients.HeaderTimeout,
 	}
+	d.ingress.Attach(d.server)
+	defer d.ingress.Close()
 	failed := make(chan error, 1)
 	go func() { failed <- d.serve() }()
 	select {
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -8,6 +8,7 @@
 	"github.com/mimosakeel/mimosakeel/freshness"
 	"github.com/mimosakeel/mimosakeel/gateway"
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/ingress"
 	"github.com/mimosakeel/mimosakeel/order"
 	"github.com/mimosakeel/mimosakeel/record"
 	"github.com/mimosakeel/mimosakeel/usage"
@@ -42,6 +43,12 @@
 	r.out.Record(event.KindFault, what, "", event.F("error", errorText(err)))
 }
 
+func (r *Recorder) clientsLimited(l ingress.Report) {
+	r.out.Record(event.KindFault, "clients_limited", l.Reason, event.F("count", strconv.FormatInt(l.Count, 10)),
+		event.F("memory", strconv.FormatInt(l.Used, 10)), event.F("memory_limit", strconv.FormatInt(l.Budget, 10)),
+		event.F("connections", strconv.Itoa(l.Connections)))
+}
+
 // stream records that reads of a stream of the log fail, or that they succeed
 // again if err is nil.
 func (r *Recorder) stream(name string, err error) {
--- a/edge/control.go
+++ b/edge/control.go
@@ -9,6 +9,7 @@
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/ingress"
 	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/metering"
 	"github.com/mimosakeel/mimosakeel/peer"
@@ -54,7 +55,9 @@
 	// disconnect closes the connection to a VM whose entry has changed.
 	disconnect func(vm string)
 
-	catalog     atomic.Pointer[catalog.Catalog]
+	catalog atomic.Pointer[catalog.Catalog]
+	// setIngress puts the limits of a new configuration on clients in force.
+	setIngress  func(ingress.Limits)
 	servers     atomic.Pointer[serverView]
 	view        atomic.Pointer[view]
 	memberTable *memberTable
@@ -258,6 +261,9 @@
 		return
 	}
 	c.catalog.Store(catalog.New(cfg))
+	if c.setIngress != nil {
+		c.setIngress(ingressLimits(cfg.Limits))
+	}
 	c.dirty = true
 	c.events.Record(event.KindConfig, "in_force", formatInt(cfg.Version))
 }
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosakeel/mimosakeel/dispatch"
 	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/ingress"
 )
 
 const (
@@ -40,7 +41,7 @@
 	open atomic.Int64
 }
 
-func newClientServer(handler http.Handler) *clientServer {
+func newClientServer(handler http.Handler, gate *ingress.Gate) *clientServer {
 	s := &clientServer{Server: &http.Server{Handler: handler}}
 	s.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
@@ -50,6 +51,7 @@
 			s.open.Add(-1)
 		}
 	}
+	gate.Attach(s.Server)
 	return s
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/mimosakeel/mimosakeel/dispatch"
 	"github.com/mimosakeel/mimosakeel/event"
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/ingress"
 	"github.com/mimosakeel/mimosakeel/metering"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/pool"
@@ -75,6 +76,7 @@
 	clock      *metering.Clock
 	budget     *retryBudget
 	metrics    *metrics.Set
+	ingress    *ingress.Gate
 	stopping   atomic.Bool
 	active     atomic.Int64
 }
@@ -133,6 +135,8 @@
 		Events:     cfg.Events,
 		Shutdown:   dispatch.NewShutdown(),
 	}
+	d.ingress = d.newIngress()
+	d.control.setIngress = d.ingress.SetLimits
 	d.metrics = d.newMetrics()
 	return d
 }
@@ -309,6 +313,7 @@
 		return err
 	}
 	defer d.node.Close()
+	defer d.ingress.Close()
 	clients, failed, err := d.listen()
 	if err != nil {
 		return err
@@ -357,7 +362,7 @@
 // Errors of the servers arrive on failed.
 func (d *Daemon) listen() (clients *clientServer, failed chan error, err error) {
 	failed = make(chan error, 3)
-	clients = newClientServer(d.ClientHandler(d))
+	clients = newClientServer(d.ClientHandler(d), d.ingress)
 	servers := map[string]*http.Server{
 		d.Settings.Clients:   clients.Server,
 		d.Settings.Readiness: {Handler: http.HandlerFunc(d.readiness)},
@@ -371,7 +376,11 @@
 			return nil, nil, eris.Wrapf(err, "listen on %s", addr)
 		}
 		if server == clients.Server {
+			listener = d.ingress.Listen(listener)
 			clients.listener = listener
+		} else {
+			d.ingress.Attach(server)
+			listener = d.ingress.ListenAside(listener)
 		}
 		go func() { failed <- server.Serve(listener) }()
 	}
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -60,6 +60,7 @@
 	})
 	set.NewGauge("mimosakeel_edge_inbox_length", func() float64 { return float64(len(d.control.inbox)) })
 	set.NewGauge("mimosakeel_edge_events_dropped", func() float64 { return float64(d.Events.Dropped()) })
+	d.ingress.Metrics(set)
 	return set
 }
 
--- /dev/null
+++ b/ingress/conn.go
@@ -0,0 +1,372 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// phase is what a connection waits for.
+type phase = int32
+
+const (
+	// phaseNew: no byte has arrived yet.
+	phaseNew phase = iota
+	// phaseIdle: between two requests.
+	phaseIdle
+	// phaseHead: a head has begun.
+	phaseHead
+	// phaseBody: the head is complete, the body is not.
+	phaseBody
+	// phaseServe: a request has arrived completely and is being served.
+	phaseServe
+	// phaseLate: a head did not arrive in time and is about to be refused.
+	phaseLate
+	// phaseRefused: a request was refused before net/http has seen it.
+	phaseRefused
+	// phaseRetired: the connection is closed and takes no memory.
+	phaseRetired
+)
+
+const (
+	// headSlop is how far a head may exceed the limit, which clients count without the
+	// request line and the line ends. net/http allows as much.
+	headSlop = 4096
+	// parsedCopies is the number of parsed copies of a head: of net/http, of the
+	// request without its system fields, and of an attempt.
+	parsedCopies = 3
+	// lineCost is the memory of a parsed header line beyond its bytes: a heap of 14 to 15 MB
+	// was measured for a head of 1 MB that consists of lines of some 7 bytes.
+	lineCost = 100
+	// lingerTime and lingerBytes bound how long and how much is read after a refusal.
+	// Without it, the kernel may drop the answer because unread bytes are left.
+	lingerTime  = 200 * time.Millisecond
+	lingerBytes = 64 << 10
+	// retryAfter is the Retry-After of a request for which there is no memory, in
+	// seconds: other clients' requests that stall are closed within it.
+	retryAfter = 1
+)
+
+var (
+	errBusy    = errors.New("ingress: clients take too much memory")
+	errRetired = errors.New("ingress: connection was closed in favour of others")
+	errUnread  = errors.New("ingress: client does not read its answer")
+	past       = time.Unix(1, 0)
+)
+
+// Conn is a client connection whose memory and times its Gate bounds. Its reader is
+// net/http, which reads in one goroutine at a time.
+type Conn struct {
+	net.Conn
+	gate     *Gate
+	listener *listener
+
+	phase atomic.Int32
+	// since is the time of the Gate at which the connection began to wait, or a request
+	// began. progressAt is that of the last byte from the client.
+	since, progressAt atomic.Int64
+	// useful counts the bytes of heads and of the content of bodies.
+	useful atomic.Int64
+	// bodyDeadline is the time in nanoseconds since the Unix epoch by which a body must
+	// have arrived; 0 for none. expired is set once it has passed.
+	bodyDeadline atomic.Int64
+	expired      atomic.Bool
+	// writing is the time of the Gate at which the client last accepted a byte of the
+	// answer that is being written; 0 if none is. probed is the time of the last probe.
+	writing, probed atomic.Int64
+	// unread is set while the client has accepted nothing between two probes.
+	unread atomic.Bool
+	// ownDeadline is set while the handler has set a write deadline. The client is
+	// then not probed.
+	ownDeadline atomic.Bool
+
+	mu sync.Mutex
+	// extra is the memory beyond connCost; retired is set once nothing is charged.
+	extra   int64
+	retired bool
+
+	// The following belong to the goroutine that reads.
+
+	framing framing
+	// served is the number of requests that have ended.
+	served int64
+	// lastCost is the charge of the last bytes that were read.
+	lastCost int64
+	// broken is set if no further byte may be read.
+	broken bool
+
+	// The following are guarded by gate.mu.
+
+	seen int64
+	rate float64
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.broken {
+		return 0, io.EOF
+	}
+	if c.phase.Load() == phaseLate {
+		return 0, c.refuse(http.StatusRequestTimeout, reasonHeadTime, p)
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.progressAt.Store(c.gate.now.Load())
+		if c.gate.config.Sealed {
+			c.useful.Add(int64(n))
+			return n, err
+		}
+		if failed := c.take(p[:n]); failed != nil {
+			return 0, failed
+		}
+	}
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.phase.Load() == phaseLate {
+		return 0, c.refuse(http.StatusRequestTimeout, reasonHeadTime, p)
+	}
+	return n, err
+}
+
+// take counts and charges bytes that were read. If it returns an error, they must not
+// reach net/http.
+func (c *Conn) take(p []byte) error {
+	before := c.phase.Load()
+	if before == phaseNew || before == phaseIdle {
+		c.since.Store(c.gate.now.Load())
+		if !c.phase.CompareAndSwap(before, phaseHead) {
+			return errRetired
+		}
+		before = phaseHead
+	}
+	counted, ok := c.framing.advance(p)
+	if !ok {
+		c.broken = true // net/http sees the bytes and refuses them.
+		c.gate.counters.count(reasonFraming)
+	}
+	c.useful.Add(counted.headBytes + counted.bodyBytes)
+	c.lastCost = parsedCopies * (counted.headBytes + lineCost*counted.headLines)
+	if c.gate.config.ChargeBodies {
+		c.lastCost += 2 * counted.bodyBytes // Readers double their buffers.
+	}
+	if before == phaseHead {
+		limit := int64(c.gate.Limits().HeadBytes) + headSlop
+		if c.framing.headBytes > limit || c.framing.lastHeadBytes > limit {
+			return c.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeadSize, p)
+		}
+	}
+	if c.lastCost > 0 && !c.gate.charge(c, c.lastCost) {
+		switch before {
+		case phaseHead:
+			return c.refuse(http.StatusServiceUnavailable, reasonHeadMemory, p)
+		case phaseBody:
+			c.gate.counters.count(reasonBodyMemory)
+			return errBusy
+		}
+		c.broken = true // A request behind the one that is served; it is not read on.
+	}
+	if before == phaseHead && c.framing.heads > c.served {
+		if !c.phase.CompareAndSwap(phaseHead, c.arrived()) {
+			return c.refuse(http.StatusRequestTimeout, reasonHeadTime, p)
+		}
+	} else if before == phaseBody && c.framing.bodies > c.served {
+		c.phase.CompareAndSwap(phaseBody, phaseServe) // Fails only if it is retired.
+	}
+	return nil
+}
+
+// arrived returns the phase of a request whose head is complete.
+func (c *Conn) arrived() phase {
+	if c.framing.bodies > c.served {
+		return phaseServe
+	}
+	return phaseBody
+}
+
+// refuse answers a request that net/http has not seen, so that it certainly does not
+// run, and closes the connection. It returns the error for the reader, and uses its
+// buffer.
+func (c *Conn) refuse(status int, why reason, buffer []byte) error {
+	c.broken = true
+	c.settle()
+	if c.phase.Swap(phaseRefused) == phaseRetired {
+		c.phase.Store(phaseRetired)
+		return errRetired
+	}
+	c.gate.counters.count(why)
+	text := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n"
+	if status == http.StatusServiceUnavailable {
+		text += "Retry-After: " + strconv.Itoa(retryAfter) + "\r\n"
+	}
+	end := time.Now().Add(lingerTime)
+	// Errors mean that the client is gone.
+	_ = c.Conn.SetDeadline(end)
+	_, _ = io.WriteString(c.Conn, text+"\r\n")
+	_ = c.CloseWrite()
+	for left := lingerBytes; left > 0; {
+		n, err := c.Conn.Read(buffer)
+		if err != nil {
+			break
+		}
+		left -= n
+	}
+	return io.EOF
+}
+
+// requestBegins is called when net/http has read a head.
+func (c *Conn) requestBegins() {
+	if c.gate.config.Sealed {
+		c.since.Store(c.gate.now.Load())
+		c.phase.CompareAndSwap(phaseNew, phaseServe)
+		c.phase.CompareAndSwap(phaseIdle, phaseServe)
+		return
+	}
+	if c.framing.heads <= c.served { // net/http has found a head where there is none.
+		c.broken = true
+		c.phase.CompareAndSwap(phaseHead, phaseServe)
+	}
+}
+
+// requestEnds is called when net/http has answered a request and goes on reading.
+func (c *Conn) requestEnds() {
+	c.settle()
+	c.bodyDeadline.Store(0)
+	c.expired.Store(false)
+	c.served++
+	now := c.gate.now.Load()
+	next := phaseIdle
+	if !c.gate.config.Sealed {
+		if c.framing.bodies < c.served { // net/http has found an end where there is none.
+			c.broken = true
+			c.gate.counters.count(reasonFraming)
+		}
+		switch {
+		case c.framing.heads > c.served:
+			next = c.arrived()
+		case c.framing.headBytes > 0:
+			next = phaseHead
+		}
+		if next != phaseIdle {
+			// What follows arrived with the last bytes. It is at most one buffer of
+			// net/http, so that a failed charge is bearable.
+			c.gate.charge(c, c.lastCost)
+		}
+	}
+	c.since.Store(now)
+	c.progressAt.Store(now)
+	for {
+		p := c.phase.Load()
+		if p == phaseRetired || c.phase.CompareAndSwap(p, next) {
+			return
+		}
+	}
+}
+
+// Write implements net.Conn. It ends when the client has accepted no byte for the idle
+// timeout.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	if c.unread.Load() {
+		c.unread.Store(false)
+	}
+	c.writing.Store(c.gate.now.Load())
+	defer c.writing.Store(0)
+	for {
+		part, err := c.Conn.Write(p[n:])
+		n += part
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.ownDeadline.Load() {
+			return n, err
+		}
+		// The sweep has interrupted the write to see whether it moves.
+		now := c.gate.now.Load()
+		switch {
+		case part > 0:
+			c.unread.Store(false)
+			c.writing.Store(now)
+		case now-c.writing.Load() >= int64(c.gate.Limits().IdleTimeout):
+			c.gate.counters.count(reasonUnread)
+			return n, errUnread
+		default:
+			c.unread.Store(now-c.writing.Load() >= int64(minIdleAge))
+		}
+		if err := c.Conn.SetWriteDeadline(time.Time{}); err != nil {
+			return n, err
+		}
+	}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.ownDeadline.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// CloseWrite closes the sending side, as net/http does before it closes a connection.
+func (c *Conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.gate.mu.Lock()
+	c.retire()
+	delete(c.listener.conns, c)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// retire ends all charges of the connection. The caller closes it.
+func (c *Conn) retire() {
+	c.phase.Store(phaseRetired)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.retired {
+		c.gate.used.Add(-c.extra - connCost)
+		c.extra, c.retired = 0, true
+	}
+}
+
+// add charges memory; it reports false if the connection is retired.
+func (c *Conn) add(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		return false
+	}
+	c.extra += n
+	c.gate.used.Add(n)
+	return true
+}
+
+// settle ends the charges of a request.
+func (c *Conn) settle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gate.used.Add(-c.extra)
+	c.extra = 0
+}
+
+func (c *Conn) charged() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.extra
+}
+
+// candidate describes the connection at a time of the Gate. gate.mu is held.
+func (c *Conn) candidate(now int64) candidate {
+	return candidate{
+		conn:    c,
+		phase:   c.phase.Load(),
+		extra:   c.charged(),
+		age:     time.Duration(now - c.since.Load()),
+		stalled: time.Duration(now - c.progressAt.Load()),
+		rate:    c.rate,
+		unread:  c.writing.Load() != 0 && c.unread.Load(),
+	}
+}
