--- a/ingress/framing.go
+++ b/ingress/framing.go
@@ -127,7 +127,7 @@
 		end = n
 	}
 	// A line that begins with white space continues the one before.
-	if f.lineSize == 0 && end > 0 && f.state == inHead && f.lineLen > 0 && p[0] != ' ' && p[0] != '\t' && (p[0] != '\r' || end > 1) {
+	if f.lineSize == 0 && end > 0 && f.state == inHead && f.lineLen > 0 && p[0] != ' ' && p[0] != '\t' {
 		f.field()
 		f.lineLen = 0
 	}
