--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -93,6 +93,22 @@
 	g.Expect(gate.used.Load()).To(BeZero(), "memory that is not given back")
 }
 
+// Guards against connections that are closed although sound clients may still reuse
+// them: up to four fifths of the idle timeout.
+func TestIdleConnectionsAreReused(t *testing.T) {
+	g := NewWithT(t)
+	limits := Limits{HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+	_, addr, _ := serve(t, Config{Memory: 144e6}, limits, time.Second)
+	c := connect(t, addr, post+"Content-Length: 2\r\n\r\nab")
+	for range 2 {
+		g.Expect(answer(c)).To(Equal(http.StatusOK))
+		time.Sleep(limits.IdleTimeout * 4 / 5)
+		_, err := io.WriteString(c, post+"Content-Length: 2\r\n\r\nab")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(answer(c)).To(Equal(http.StatusOK))
+}
+
 // Guards against answers that are kept for a client that reads nothing, and against slow
 // readers that are cut off.
 func TestUnreadAnswersEndAndSlowReadersDoNot(t *testing.T) {
