--- a/event/explain.go
+++ b/event/explain.go
@@ -173,6 +173,8 @@
 	"no_service":      "the route names no service of the configuration",
 	"body_not_read":   "the body was larger than the limit, incomplete, or badly framed",
 	"no_request_id":   "the request carried no id",
+	"bad_target":      "the request target can't be passed on unchanged",
+	"customer_limit":  "the customer's limit over all daemons was reached",
 	"no_server":       "the process knew no usable server of the service, or all of them had failed the request",
 	"server_limits":   "all servers that were left had named a limit on requests, and had got as many",
 	"server_left":     "the server left after it was chosen and before the request was sent",
