cost, edge: learned costs of requests and servers; plain requests placed by expected time

Each daemon counted only its own open requests and faults, so that a slow plain server got an equal share. Package cost learns the work per kind and the speed and outstanding work per server; daemons exchange the latter by push-sum reports (message kind 46). The reports are not enabled yet.

--- a/edge/control.go
+++ b/edge/control.go
@@ -77,6 +77,10 @@
 	limitPlain func(server string, limit float64, limited bool)
 	// plainTold holds the limits of plain servers that other daemons were told.
 	plainTold map[string]namedLimit
+	// workTick sends reports of the work on plain servers, and workReported applies
+	// one of another daemon.
+	workTick     func(now time.Time)
+	workReported func(from string, m *WorkReport)
 	// schedulersChanged is called when pools have got another scheduler or a scheduler
 	// was restarted.
 	schedulersChanged func(now time.Time)
@@ -136,6 +140,8 @@
 		plainTold:   map[string]namedLimit{},
 		limitPlain:  func(string, float64, bool) {},
 
+		workTick:          func(time.Time) {},
+		workReported:      func(string, *WorkReport) {},
 		schedulersChanged: func(time.Time) {},
 		schedulerLeft:     func(string) {},
 		peerEnds:          map[string]*[feedCount]int64{},
@@ -192,6 +198,7 @@
 	c.host.Tick(now)
 	c.duties.tick(now)
 	c.quarantine.tick(now)
+	c.workTick(now)
 	if c.dropFinishedRoleChanges(now) {
 		c.rolesChanged = true
 	}
@@ -345,6 +352,8 @@
 		} else {
 			c.host.Step(now, m.Pool, pool.RunnerLimited{Runner: m.Server, Limit: m.Limit, Limited: m.Limited})
 		}
+	case *WorkReport:
+		c.workReported(ev.from, m)
 	case *schedule.GrantRequest:
 		m.Request.Entry = ev.from
 		c.host.Request(now, m)
--- a/edge/message.go
+++ b/edge/message.go
@@ -25,6 +25,7 @@
 	kindQuarantined   peer.Kind = 40
 	kindServerLimit   peer.Kind = 41
 	kindFeedNotice    peer.Kind = 42
+	kindWorkReport    peer.Kind = 46
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -182,6 +183,8 @@
 		return &ServerLimit{}
 	case kindQuarantined:
 		return &Quarantined{}
+	case kindWorkReport:
+		return &WorkReport{}
 	}
 	return schedule.NewMessage(kind)
 }
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,9 +27,13 @@
 
 // plainScheduler places requests on the servers of plain services. It prefers
 // servers with few open requests, in the daemon's own failure domain and without
-// recent faults. It counts only the requests and faults of this daemon.
+// recent faults. With costs set it compares expected times, which include the work of
+// the other daemons; otherwise it counts only the requests and faults of this daemon.
 type plainScheduler struct {
 	domain  string
+	now     func() time.Time
+	// uniform returns a random number in [0,1).
+	uniform func() float64
 	servers func(service string) []*registry.Server
 	// serversFields returns the version and age of the list of servers, for logs.
 	serversFields func() []event.Field
@@ -37,6 +42,8 @@
 
 	mu    sync.Mutex
 	state map[string]*plainState
+	// costs learns expected times; nil if the setting scheduling.expected_cost is off.
+	costs *plainCosts
 }
 
 type plainState struct {
@@ -50,7 +57,7 @@
 
 func newPlainScheduler(domain string) *plainScheduler {
 	return &plainScheduler{
-		domain: domain, state: map[string]*plainState{}, serversFields: func() []event.Field { return nil },
+		domain: domain, now: time.Now, uniform: rand.Float64, state: map[string]*plainState{}, serversFields: func() []event.Field { return nil },
 		share: func(_ string, limit float64) float64 { return limit },
 	}
 }
@@ -63,11 +70,14 @@
 func (p *plainScheduler) Place(_ context.Context, r dispatch.PlacementRequest) (*dispatch.Placement, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	var best *registry.Server
-	lowest := 0.0
+	now := p.now()
+	best := plainChoice{score: math.Inf(1)}
 	limitWait := time.Duration(0)
-	for _, server := range p.servers(r.Request.Service.Name) {
+	servers := p.servers(r.Request.Service.Name)
+	compare := p.comparison(now, r.Request, servers)
+	left := compare.sample
+	for i := range servers {
+		server := servers[(compare.first+i)%len(servers)]
 		if server.Draining || slices.Contains(r.Avoid, server.ID) {
 			continue
 		}
@@ -77,22 +87,85 @@
 			}
 			continue
 		}
-		cost := p.cost(now, server) + tieBreak*rand.Float64()
-		if best == nil || cost < lowest {
-			best, lowest = server, cost
+		if choice := compare.rate(server); choice.score < best.score {
+			best = choice
+		}
+		if left--; left == 0 {
+			break
 		}
 	}
-	if best == nil && limitWait > 0 {
+	if best.server == nil && limitWait > 0 {
 		return nil, &dispatch.Failure{Run: backend.RunNever, Reason: "server_limits", RetryAfter: limitWait, Inputs: p.serversFields()}
 	}
-	if best == nil {
+	if best.server == nil {
 		return nil, noServer(p.serversFields()...)
 	}
-	inputs := append(p.serversFields(), event.F("open", formatInt(int64(p.stateOf(best.ID).open))),
-		event.F("faults", formatRatio(p.stateOf(best.ID).faults(now))))
-	p.stateOf(best.ID).open++
-	p.stateOf(best.ID).limit.Take(now)
-	return &dispatch.Placement{Server: best, Inputs: inputs}, nil
+	state := p.stateOf(best.server.ID)
+	inputs := append(p.serversFields(), event.F("open", formatInt(int64(state.open))),
+		event.F("faults", formatRatio(state.faults(now))))
+	place := &dispatch.Placement{Server: best.server}
+	if p.costs != nil {
+		inputs = append(inputs, best.estimate.fields(&compare.work)...)
+		p.costs.begin(now, place, compare.work, best.estimate)
+	}
+	place.Inputs = inputs
+	state.open++
+	state.limit.Take(now)
+	return place, nil
+}
+
+// plainChoice is a server that a decision has compared; lower scores are better.
+type plainChoice struct {
+	server   *registry.Server
+	score    float64
+	estimate estimate
+}
+
+// plainComparison compares servers for one request.
+type plainComparison struct {
+	*plainScheduler
+	now  time.Time
+	work openWork
+	// learned is set if costs apply because something was observed.
+	learned bool
+	// first is the index of the first server that is compared, and sample the number
+	// of usable servers that are.
+	first, sample int
+}
+
+func (p *plainScheduler) comparison(now time.Time, r *dispatch.Request, servers []*registry.Server) plainComparison {
+	c := plainComparison{plainScheduler: p, now: now, sample: len(servers)}
+	if p.costs == nil {
+		return c
+	}
+	c.work = p.costs.expect(r)
+	c.learned = c.work.known
+	if len(servers) > maxScored {
+		c.first, c.sample = rand.IntN(len(servers)), maxScored
+	}
+	for i := 0; i < c.sample && !c.learned; i++ {
+		c.learned = p.costs.servers.Load(now, serverID(servers[(c.first+i)%len(servers)])).Observations > 0
+	}
+	return c
+}
+
+// rate rates a server. Without observations it counts open requests.
+func (c *plainComparison) rate(server *registry.Server) plainChoice {
+	choice := plainChoice{server: server}
+	if c.costs != nil {
+		choice.estimate = c.costs.estimate(c.now, &c.work, server)
+	}
+	if !c.learned {
+		choice.score = c.cost(c.now, server) + tieBreak*c.uniform()
+		return choice
+	}
+	// The costs of faults and of the failure domain are in requests of this kind.
+	extra := faultCost * c.stateOf(server.ID).faults(c.now)
+	if server.FailureDomain != c.domain {
+		extra += otherDomainCost
+	}
+	choice.score = c.costs.weigh(choice.estimate.total + extra*c.work.mean)
+	return choice
 }
 
 // tieBreak is the maximum of a random cost that spreads requests over servers of
@@ -122,7 +195,7 @@
 	share := p.share(server, limit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.now()
 	state := p.stateOf(server)
 	switch {
 	case !limited:
@@ -138,13 +211,22 @@
 func (p *plainScheduler) Prefilled(*dispatch.Placement) {}
 
 // Started implements dispatch.Scheduler.
-func (p *plainScheduler) Started(*dispatch.Placement) {}
+func (p *plainScheduler) Started(place *dispatch.Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.costs != nil {
+		p.costs.started(p.now(), place)
+	}
+}
 
 // Done implements dispatch.Scheduler.
 func (p *plainScheduler) Done(place *dispatch.Placement, r dispatch.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.now()
+	if p.costs != nil {
+		p.costs.end(now, place, r)
+	}
 	state := p.stateOf(place.Server.ID)
 	state.open--
 	faults := state.faults(now)
