edge, cost: expected cost enabled for plain services (scheduling.expected_cost)

Each daemon counted only its own open requests: with 89 daemons in front of servers of speeds 0.6, 1 and 1.6, slow servers got as many requests as fast ones.

Daemons exchange learned speeds and outstanding work with a heartbeat peer every 100 ms and draw the server by expected time.

--- a/cost/report.go
+++ b/cost/report.go
@@ -10,7 +10,7 @@
 	// entryBytes is the size of a server in a report: its ID and six numbers.
 	entryBytes = 8 + 6*4
 	// MaxReportServers bounds the servers in one report.
-	MaxReportServers = 16
+	MaxReportServers = 8
 	// minReportWeight is the weight up to which the observations in a report always
 	// count: half of one.
 	minReportWeight = 0.5
--- a/cost/servers.go
+++ b/cost/servers.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// loadTime is the time constant of the outstanding work in reports. A report has
-	// to reach all daemons, which takes 0.7 s with 89 of them, before it has faded.
-	loadTime = time.Second
+	// loadTime is the time constant of the outstanding work in reports: after one second,
+	// 8% of it is left. With 1 s, all daemons together send a busy server too much now and
+	// then, so that it refuses some.
+	loadTime = 400 * time.Millisecond
 	// speedTime is the time constant with which the learned speed of a server is
 	// forgotten that gets no requests, so that a server that has recovered is tried.
 	speedTime = 10 * time.Second
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -121,6 +121,7 @@
 		}
 	}
 	d.plain.servers = func(service string) []*registry.Server { return d.control.servers.Load().ofService(service) }
+	d.enableExpectedCost()
 	d.plain.serversFields = d.control.serversReplica.fields
 	d.control.schedulerLeft = d.grants.schedulerLeft
 	d.budget = newRetryBudget(s.Retry, d.retryShares)
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -60,6 +60,14 @@
 	})
 	set.NewGauge("mimosakeel_edge_inbox_length", func() float64 { return float64(len(d.control.inbox)) })
 	set.NewGauge("mimosakeel_edge_events_dropped", func() float64 { return float64(d.Events.Dropped()) })
+	set.NewGauge("mimosakeel_edge_cost_servers", func() float64 {
+		servers, _ := d.plain.counts()
+		return float64(servers)
+	})
+	set.NewGauge("mimosakeel_edge_cost_rejected", func() float64 {
+		_, rejected := d.plain.counts()
+		return float64(rejected)
+	})
 	return set
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -59,6 +59,8 @@
 	Usage UsageSettings `json:"usage"`
 	// Fleet sets how many engines run and which roles they have.
 	Fleet FleetSettings `json:"fleet"`
+	// Scheduling configures how servers are chosen.
+	Scheduling SchedulingSettings `json:"scheduling"`
 	// LogLevel is debug, info, warn or error. Unit: text. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -124,6 +126,15 @@
 	DecodeShare float64 `json:"decode_share"`
 }
 
+// SchedulingSettings configure how servers are chosen.
+type SchedulingSettings struct {
+	// ExpectedCost chooses servers by the expected time of each request, from the learned
+	// work of its kind, the learned speed of the servers and the outstanding work of all
+	// daemons; otherwise servers of plain services are chosen by open requests, and the
+	// length of answers is expected per customer. Unit: true or false. Default: true.
+	ExpectedCost bool `json:"expected_cost"`
+}
+
 // DefaultSettings returns the default settings. Required settings are empty.
 func DefaultSettings() Settings {
 	return Settings{
@@ -134,6 +145,7 @@
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
 		Fleet:      FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
+		Scheduling: SchedulingSettings{ExpectedCost: true},
 		LogLevel:   "info",
 	}
 }
--- a/edge/work_report.go
+++ b/edge/work_report.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/peer"
 )
 
@@ -27,7 +28,7 @@
 )
 
 // WorkReport carries a part of what the sender knows about the work and the speed of
-// plain servers. It is sent to one random daemon per interval.
+// plain servers. It is sent to one of the sender's heartbeat peers per interval.
 type WorkReport struct {
 	// Servers is encoded by cost.Servers.
 	Servers []byte `cbor:"1,keyasint"`
@@ -39,9 +40,11 @@
 // workReporter exchanges reports of the work on plain servers. It belongs to the control
 // goroutine.
 type workReporter struct {
-	plain    *plainScheduler
-	vm       string
-	members  func() []string
+	plain *plainScheduler
+	// peers returns the daemons to which connections are kept for heartbeats, and live
+	// the daemons that run.
+	peers    func() []string
+	live     func() *member.Set
 	send     func(vm string, m peer.Message)
 	events   *event.Recorder
 	sent     time.Time
@@ -49,19 +52,35 @@
 	rejected time.Time
 }
 
+// enableExpectedCost lets the servers of plain services be chosen by expected time if the
+// settings say so.
+func (d *Daemon) enableExpectedCost() {
+	if !d.Settings.Scheduling.ExpectedCost {
+		return
+	}
+	d.plain.costs = newPlainCosts()
+	w := &workReporter{
+		plain: d.plain, send: d.send, events: d.Events,
+		peers: d.control.members.Peers,
+		live:  func() *member.Set { return d.control.live },
+	}
+	d.control.workTick = w.tick
+	d.control.workReported = func(from string, m *WorkReport) { w.received(time.Now(), from, m) }
+}
+
 func (w *workReporter) tick(now time.Time) {
 	if now.Sub(w.sent) < workReportInterval {
 		return
 	}
 	w.sent = now
-	members := w.members()
-	to := ""
-	if len(members) > 1 {
-		for to == "" || to == w.vm {
-			to = members[rand.IntN(len(members))]
+	live, to := w.live(), ""
+	// Other daemons would need another connection.
+	if peers := w.peers(); len(peers) > 0 {
+		if peer := peers[rand.IntN(len(peers))]; live.Contains(peer) {
+			to = peer
 		}
 	}
-	if report := w.plain.report(now, len(members), to != ""); report != nil {
+	if report := w.plain.report(now, live.Len(), to != ""); report != nil {
 		workReportsSent.Inc()
 		w.send(to, &WorkReport{Servers: report})
 	}
@@ -105,6 +124,17 @@
 	return p.costs.servers.Merge(now, report)
 }
 
+// counts returns the number of servers about which something is known, and the number of
+// observations and report entries that were not plausible.
+func (p *plainScheduler) counts() (servers int, rejected uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.costs == nil {
+		return 0, 0
+	}
+	return p.costs.servers.Len(), p.costs.servers.Rejected() + p.costs.kinds.Rejected()
+}
+
 func (p *plainScheduler) forget(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
