pool: answers are expected per kind of request

One average per customer reserves KV memory for answers that a kind never gives and too little for the others. The kind is the size classes of the prompt and of the longest answer, and the customer; unknown kinds get the customer's average as before. Off in pool.DefaultConfig, on with scheduling.expected_cost.

--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -19,7 +19,7 @@
 func TestDistributionOfHeavyTails(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(1, 1))
-	kinds, k := NewKinds(), Kind{Route: "r"}
+	kinds, k := NewKinds(12_000), Kind{Route: "r"}
 	for i := range 2_000 {
 		v := 0.05 * math.Exp(0.7*random.NormFloat64())
 		if i%100 == 0 {
@@ -43,7 +43,7 @@
 // Guards against a cost that stays the old one after a mix has shifted.
 func TestCostsFollowAShift(t *testing.T) {
 	g := NewWithT(t)
-	kinds, k := NewKinds(), Kind{Route: "r"}
+	kinds, k := NewKinds(12_000), Kind{Route: "r"}
 	for range 1_000 {
 		kinds.Observe(k, 0.05)
 	}
@@ -57,7 +57,7 @@
 // predicted from them, and against one observation that decides for a customer.
 func TestCustomersCountOnceObserved(t *testing.T) {
 	g := NewWithT(t)
-	kinds := NewKinds()
+	kinds := NewKinds(12_000)
 	usual, large := Kind{Route: "r", Customer: "usual"}, Kind{Route: "r", Customer: "large"}
 	for range 400 {
 		kinds.Observe(usual, 0.05)
@@ -79,7 +79,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	kinds, servers := NewKinds(), NewServers()
+	kinds, servers := NewKinds(12_000), NewServers()
 	for i := range 30_000 {
 		kinds.Observe(Kind{Route: "r", Customer: fmt.Sprint("customer-", i)}, 0.05)
 	}
@@ -249,6 +249,19 @@
 	})
 }
 
+// Guards against one daemon whose report outweighs what all others have observed.
+func TestReportsHaveBoundedWeight(t *testing.T) {
+	g := NewWithT(t)
+	a, b, server := NewServers(), NewServers(), IDOf("s", 1)
+	b.SetDaemons(89)
+	for range 20 {
+		a.Observe(start, server, 30)
+	}
+	b.Observe(start, server, 1)
+	b.Merge(start, a.Report(start))
+	g.Expect(b.Load(start, server).Slowness).To(BeNumerically("<", 5))
+}
+
 // Guards against reports that leave out servers, and against one that is larger than its
 // bound.
 func TestServersAreReportedInTurn(t *testing.T) {
--- a/cost/kinds.go
+++ b/cost/kinds.go
@@ -45,9 +45,6 @@
 }
 
 const (
-	// maxKinds bounds the kinds, with and without customer, that are remembered: 9,300
-	// customers, and the routes and size classes. A kind takes about 250 bytes.
-	maxKinds = 12_000
 	// customerWeight is the number of observations of a customer that count as much as
 	// those of all customers.
 	customerWeight = 8
@@ -68,6 +65,7 @@
 // concurrent use.
 type Kinds struct {
 	entries map[uint64]*kindEntry
+	max     int
 	turn    uint64
 	// rejected counts the observations that were not plausible.
 	rejected uint64
@@ -78,8 +76,9 @@
 	used uint64
 }
 
-// NewKinds returns an empty table.
-func NewKinds() *Kinds { return &Kinds{entries: map[uint64]*kindEntry{}} }
+// NewKinds returns an empty table that remembers a number of kinds, counted with and
+// without customer. A kind takes about 250 bytes.
+func NewKinds(most int) *Kinds { return &Kinds{entries: map[uint64]*kindEntry{}, max: most} }
 
 // Rejected returns the number of observations that were negative, not finite or absurd.
 func (t *Kinds) Rejected() uint64 { return t.rejected }
@@ -102,7 +101,7 @@
 	t.turn++
 	e := t.entries[key]
 	if e == nil {
-		if len(t.entries) >= maxKinds {
+		if len(t.entries) >= t.max {
 			t.evict()
 		}
 		e = &kindEntry{}
--- a/edge/plain_cost.go
+++ b/edge/plain_cost.go
@@ -15,6 +15,9 @@
 	// maxScored bounds the servers that one decision compares. Larger services are
 	// sampled, so that a decision takes microseconds.
 	maxScored = 16
+	// maxPlainKinds bounds the kinds of requests that are remembered: 9,300 customers, and
+	// the routes and size classes.
+	maxPlainKinds = 12_000
 	// unknownWork is the assumed work of a request of which nothing is known. Only its
 	// ratio to the work of other requests matters.
 	unknownWork = 50 * time.Millisecond
@@ -59,7 +62,7 @@
 
 func newPlainCosts() *plainCosts {
 	return &plainCosts{
-		kinds: cost.NewKinds(), servers: cost.NewServers(),
+		kinds: cost.NewKinds(maxPlainKinds), servers: cost.NewServers(),
 		open: map[*dispatch.Placement]*openWork{}, random: rand.ExpFloat64,
 	}
 }
--- a/edge/plain_cost_test.go
+++ b/edge/plain_cost_test.go
@@ -253,6 +253,24 @@
 	g.Expect(rejected).To(BeNumerically("==", 1))
 }
 
+// Guards against expected costs that can't be switched off, and against daemons without
+// them that fail at the others' reports.
+func TestExpectedCostCanBeSwitchedOff(t *testing.T) {
+	g := NewWithT(t)
+	c := newScaleControl(t, 3, 3, 1)
+	d := &Daemon{Config: Config{Settings: DefaultSettings(), Events: c.events}, control: c.control, plain: newPlainScheduler("fd-a")}
+	d.Settings.Scheduling.ExpectedCost = false
+	d.enableExpectedCost()
+	g.Expect(d.plain.costs).To(BeNil())
+	c.handle(c.now, peerMessage{from: "vm-1", message: &WorkReport{Servers: []byte("any")}})
+	c.tick(c.now)
+	d.Settings.Scheduling.ExpectedCost = true
+	d.enableExpectedCost()
+	c.handle(c.now, peerMessage{from: "vm-1", message: &WorkReport{Servers: []byte("any")}})
+	_, rejected := d.plain.counts()
+	g.Expect(rejected).To(BeNumerically("==", 1))
+}
+
 func BenchmarkPlainPlace(b *testing.B) {
 	for _, servers := range []int{3, 2_900} {
 		for _, on := range []bool{false, true} {
--- a/edge/pools.go
+++ b/edge/pools.go
@@ -83,6 +83,8 @@
 	catalog  *catalog.Catalog
 	view     *serverView
 	services map[string]*servicePools
+	// expectedAnswers is pool.Switches.ExpectedAnswers of the pools.
+	expectedAnswers bool
 	// specs are the pools of all services that have engines.
 	specs []schedule.PoolSpec
 }
@@ -123,6 +125,7 @@
 		p := t.services[name]
 		if p == nil {
 			p = &servicePools{config: poolConfig(service.Engine), memory: service.Engine.KVTokens}
+			p.config.ExpectedAnswers = t.expectedAnswers
 			t.services[name] = p
 		}
 		p.update(service, view.ofService(name), isChanging)
--- a/edge/work_report.go
+++ b/edge/work_report.go
@@ -52,12 +52,13 @@
 	rejected time.Time
 }
 
-// enableExpectedCost lets the servers of plain services be chosen by expected time if the
-// settings say so.
+// enableExpectedCost lets the servers of plain services be chosen by expected time, and the
+// length of answers be expected per kind, if the settings say so.
 func (d *Daemon) enableExpectedCost() {
 	if !d.Settings.Scheduling.ExpectedCost {
 		return
 	}
+	d.control.pools.expectedAnswers = true
 	d.plain.costs = newPlainCosts()
 	w := &workReporter{
 		plain: d.plain, send: d.send, events: d.Events,
--- a/pool/admit.go
+++ b/pool/admit.go
@@ -93,7 +93,7 @@
 	}
 	w.prompt = min(max(req.PromptTokens, 1), MaxTokens)
 	w.limit = min(max(req.MaxTokens, 1), MaxTokens)
-	w.expected = max(int(c.answerRatio*float64(w.limit)), 1)
+	w.expected = p.expectedAnswer(c, w.prompt, w.limit)
 	w.kv = w.prompt + w.expected
 	w.cost = float64(w.prompt + w.expected)
 	return w
@@ -333,4 +333,5 @@
 	b := &c.class[t.priority]
 	b.virtualFinish = max(b.virtualFinish+(used-t.chargedCost)/c.weight, 0)
 	c.answerRatio += answerRatioGain * (float64(t.produced)/float64(t.limit) - c.answerRatio)
+	p.learnAnswer(t)
 }
--- a/pool/config.go
+++ b/pool/config.go
@@ -38,6 +38,9 @@
 	Corrections bool
 	// Learning updates the latency predictors from observed progress.
 	Learning bool
+	// ExpectedAnswers expects the length of answers per kind of request instead of per
+	// customer.
+	ExpectedAnswers bool
 }
 
 // Config holds the parameters of a pool. DefaultConfig returns the defaults.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -6,6 +6,8 @@
 
 import (
 	"time"
+
+	"github.com/mimosakeel/mimosakeel/cost"
 )
 
 // Pool is the state machine of one pool. It isn't safe for concurrent use.
@@ -20,8 +22,10 @@
 	freeTickets    *ticket
 
 	customers map[string]*customer
-	queue     fairQueue
-	free      *waitingRequest
+	// answers learns the lengths of answers; nil before the first one.
+	answers *cost.Kinds
+	queue   fairQueue
+	free    *waitingRequest
 
 	prefixes *prefixIndex
 	// poolPredictor is the predictor over all runners. New runners start from a
