--- a/edge/plain_cost_test.go
+++ b/edge/plain_cost_test.go
@@ -177,6 +177,20 @@
 	g.Expect(c.costs.open).To(BeEmpty())
 }
 
+// Guards against daemons that each have to lose requests to a server that fails.
+func TestPlainFaultsOfOthersCount(t *testing.T) {
+	g := NewWithT(t)
+	a := &registry.Server{ID: "a", Slots: 6}
+	first, second := newCostScheduler(a), newCostScheduler(a)
+	for range 10 {
+		first.serve(t, 0, dispatch.Result{Reason: "server_error"})
+	}
+	work := openWork{mean: 1}
+	g.Expect(second.costs.estimate(second.at, &work, a).total).To(BeNumerically("~", 1, 0.01))
+	second.merge(second.at, first.report(first.at, 2, true))
+	g.Expect(second.costs.estimate(second.at, &work, a).total).To(BeNumerically(">", 5))
+}
+
 // Guards against a server that hangs and keeps getting requests until its first answer.
 func TestPlainServerThatHangsIsNoticed(t *testing.T) {
 	g := NewWithT(t)
@@ -190,6 +204,7 @@
 		c.at = c.at.Add(100 * time.Millisecond)
 		c.report(c.at, 1, false)
 	}
+	g.Expect(c.costs.servers.Load(c.at, serverID(first)).Slowness).To(BeNumerically(">", 1.3))
 	g.Expect(placePlain(t, c.plainScheduler).Server).NotTo(Equal(first))
 }
 
@@ -265,7 +280,17 @@
 	c.handle(c.now, peerMessage{from: "vm-1", message: &WorkReport{Servers: []byte("any")}})
 	c.tick(c.now)
 	d.Settings.Scheduling.ExpectedCost = true
+	c.pools = newPoolTable()
 	d.enableExpectedCost()
+	c.publish(c.now)
+	g.Expect(c.pools.services).NotTo(BeEmpty())
+	for _, service := range c.pools.services {
+		g.Expect(service.config.ExpectedAnswers).To(BeTrue())
+	}
+	ticks := 0
+	c.workTick = func(time.Time) { ticks++ }
+	c.tick(c.now)
+	g.Expect(ticks).To(Equal(1))
 	c.handle(c.now, peerMessage{from: "vm-1", message: &WorkReport{Servers: []byte("any")}})
 	_, rejected := d.plain.counts()
 	g.Expect(rejected).To(BeNumerically("==", 1))
