--- a/edge/control.go
+++ b/edge/control.go
@@ -81,6 +81,10 @@
 	limitPlain func(server string, limit float64, limited bool)
 	// plainTold holds the limits of plain servers that other daemons were told.
 	plainTold map[string]namedLimit
+	// workTick sends reports of the work on plain servers, and workReported applies
+	// one of another daemon.
+	workTick     func(now time.Time)
+	workReported func(from string, m *WorkReport)
 	// schedulersChanged is called when pools have got another scheduler or a scheduler
 	// was restarted.
 	schedulersChanged func(now time.Time)
@@ -143,6 +147,8 @@
 		plainTold:   map[string]namedLimit{},
 		limitPlain:  func(string, float64, bool) {},
 
+		workTick:          func(time.Time) {},
+		workReported:      func(string, *WorkReport) {},
 		schedulersChanged: func(time.Time) {},
 		schedulerLeft:     func(string) {},
 		peerEnds:          map[string]*[feedCount]int64{},
@@ -205,6 +211,7 @@
 	c.duties.tick(now)
 	c.quarantine.tick(now)
 	c.customerLimits.tick(now)
+	c.workTick(now)
 	if c.dropFinishedRoleChanges(now) {
 		c.rolesChanged = true
 	}
@@ -364,6 +371,8 @@
 		}
 	case *SliceRequest:
 		c.customerLimits.lend(now, ev.from, m)
+	case *WorkReport:
+		c.workReported(ev.from, m)
 	case *schedule.GrantRequest:
 		m.Request.Entry = ev.from
 		c.host.Request(now, m)
--- a/edge/message.go
+++ b/edge/message.go
@@ -27,6 +27,7 @@
 	kindFeedNotice    peer.Kind = 42
 	kindSliceRequest  peer.Kind = 43
 	kindSlice         peer.Kind = 44
+	kindWorkReport    peer.Kind = 46
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -188,6 +189,8 @@
 		return &SliceRequest{}
 	case kindSlice:
 		return &Slice{}
+	case kindWorkReport:
+		return &WorkReport{}
 	}
 	return schedule.NewMessage(kind)
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -65,6 +65,8 @@
 	Fleet FleetSettings `json:"fleet"`
 	// CustomerLimits sets how limits of customers are applied over all daemons.
 	CustomerLimits CustomerLimitSettings `json:"customer_limits"`
+	// Scheduling configures how servers are chosen.
+	Scheduling SchedulingSettings `json:"scheduling"`
 	// LogLevel is debug, info, warn or error. Unit: text. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -142,6 +144,15 @@
 	MaxWait time.Duration `json:"max_wait"`
 }
 
+// SchedulingSettings configure how servers are chosen.
+type SchedulingSettings struct {
+	// ExpectedCost chooses servers by the expected time of each request, from the learned
+	// work of its kind, the learned speed of the servers and the outstanding work of all
+	// daemons; otherwise servers of plain services are chosen by open requests, and the
+	// length of answers is expected per customer. Unit: true or false. Default: true.
+	ExpectedCost bool `json:"expected_cost"`
+}
+
 // DefaultSettings returns the default settings. Required settings are empty.
 func DefaultSettings() Settings {
 	return Settings{
@@ -152,6 +163,7 @@
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
 		Fleet:      FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
+		Scheduling: SchedulingSettings{ExpectedCost: true},
 		LogLevel:   "info",
 
 		CustomerLimits: CustomerLimitSettings{HomeTimeout: 25 * time.Millisecond, MaxWait: 250 * time.Millisecond},
