pool: waiting requests are ordered by urgency within the fair share of customers

Cause: the objective and the priority of a route were read and not used, so that under overload the most urgent kind achieved the lowest share of its value.

Change: with Switches.Urgency a pool keeps the waiting requests of each customer in two lanes, those that can still meet their objective and the late ones. The earliest key (latest start and rank) is next; late requests have a guaranteed share. Less work waits on the runners, so that the order matters. The predicted wait, and with it the refusal at arrival, follows the order. The schedulers pass the objective on as time left; the setting scheduling.urgency enables it.

Measured: the fairness tests of pool/behaviour_test.go pass with both orders.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -85,6 +85,7 @@
 	d := &Daemon{Config: cfg}
 	incarnation := s.VM + "." + strconv.FormatInt(time.Now().UnixMilli(), 36)
 	d.control = newControl(s.VM, incarnation, cfg.Source, cfg.Events, newMemberTable())
+	d.control.pools.scheduling = s.Scheduling
 	d.control.send = d.send
 	d.control.disconnect = d.disconnect
 	d.control.feeds = d.newFeeds()
--- a/edge/pools.go
+++ b/edge/pools.go
@@ -48,8 +48,9 @@
 )
 
 // poolConfig returns the configuration of the pools of an engine service.
-func poolConfig(e *catalog.Engine) pool.Config {
+func poolConfig(e *catalog.Engine, scheduling SchedulingSettings) pool.Config {
 	cfg := pool.DefaultConfig()
+	cfg.Urgency = scheduling.Urgency
 	// Listed engines don't send reports. The list of servers and the outcomes of
 	// attempts show which engines are available.
 	cfg.RunnerTimeout = 0
@@ -80,9 +81,10 @@
 // several pools if its engines don't fit into one. It keeps the pools, so that an
 // update costs what has changed.
 type poolTable struct {
-	catalog  *catalog.Catalog
-	view     *serverView
-	services map[string]*servicePools
+	scheduling SchedulingSettings
+	catalog    *catalog.Catalog
+	view       *serverView
+	services   map[string]*servicePools
 	// specs are the pools of all services that have engines.
 	specs []schedule.PoolSpec
 }
@@ -103,7 +105,9 @@
 	changing []bool
 }
 
-func newPoolTable() *poolTable { return &poolTable{services: map[string]*servicePools{}} }
+func newPoolTable() *poolTable {
+	return &poolTable{scheduling: DefaultSettings().Scheduling, services: map[string]*servicePools{}}
+}
 
 // update brings the pools up to date and reports whether any may have changed.
 // rolesChanged is set if the results of isChanging may have changed.
@@ -122,7 +126,7 @@
 		}
 		p := t.services[name]
 		if p == nil {
-			p = &servicePools{config: poolConfig(service.Engine), memory: service.Engine.KVTokens}
+			p = &servicePools{config: poolConfig(service.Engine, t.scheduling), memory: service.Engine.KVTokens}
 			t.services[name] = p
 		}
 		p.update(service, view.ofService(name), isChanging)
@@ -216,6 +220,10 @@
 		Avoid:         n.Avoid,
 		Whole:         n.Whole,
 		Deadline:      r.Deadline,
+		Rank:          r.Priority,
+	}
+	if r.Route != nil && r.Route.Objective > 0 && !r.Arrived.IsZero() {
+		request.Objective = r.Arrived.Add(r.Route.Objective)
 	}
 	p := r.Prompt
 	if p == nil {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -59,6 +59,8 @@
 	Usage UsageSettings `json:"usage"`
 	// Fleet sets how many engines run and which roles they have.
 	Fleet FleetSettings `json:"fleet"`
+	// Scheduling sets how generation requests are placed on engines.
+	Scheduling SchedulingSettings `json:"scheduling"`
 	// LogLevel is debug, info, warn or error. Unit: text. Default: info.
 	LogLevel string `json:"log_level"`
 }
@@ -124,6 +126,15 @@
 	DecodeShare float64 `json:"decode_share"`
 }
 
+// SchedulingSettings set how generation requests are placed on engines. All
+// daemons need equal values.
+type SchedulingSettings struct {
+	// Urgency orders waiting requests by the time that is left until their objective
+	// and by priority, within the fair share of customers; false orders them by fair
+	// share and arrival only. Unit: boolean. Default: true.
+	Urgency bool `json:"urgency"`
+}
+
 // DefaultSettings returns the default settings. Required settings are empty.
 func DefaultSettings() Settings {
 	return Settings{
@@ -134,6 +145,7 @@
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
 		Fleet:      FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
+		Scheduling: SchedulingSettings{Urgency: true},
 		LogLevel:   "info",
 	}
 }
--- a/pool/admit.go
+++ b/pool/admit.go
@@ -145,7 +145,8 @@
 		}
 		return ReasonNoRunner, p.cfg.NoRunnerRetry
 	}
-	wait := p.queueWait(c, w, fit.runners)
+	w.setUrgency(now, fit.idleFirstToken)
+	wait := p.queueWait(now, c, w, fit.runners)
 	if !fit.hasRoomNow && p.queue.count == 0 {
 		wait = max(wait, fit.wait)
 	}
@@ -176,7 +177,7 @@
 // at the head of the queue: the time until virtual time reaches the finish time
 // of the customer's last request, at most the time to serve all waiting
 // requests. Without waiting requests it is 0.
-func (p *Pool) queueWait(c *customer, w *waitingRequest, runners int) float64 {
+func (p *Pool) queueWait(now time.Time, c *customer, w *waitingRequest, runners int) float64 {
 	class := w.request.Priority
 	q := &p.queue
 	total := q.cost[class]
@@ -188,6 +189,9 @@
 	if total == 0 {
 		return 0
 	}
+	if q.ordered(class) {
+		return p.urgentWait(now, c, w, runners)
+	}
 	ahead := total
 	if p.cfg.FairQueueing {
 		weights := q.weight[class]
@@ -240,14 +244,19 @@
 // when the credit of the batch floor is used up.
 func (p *Pool) dispatchClass(now time.Time, class Priority, floor bool) {
 	q := &p.queue
+	if q.ordered(class) {
+		p.dispatchUrgent(now)
+		return
+	}
 	for len(q.heap[class]) > 0 && len(q.skipped) < maxSkippedBacklogs {
 		if floor && q.batchCredit <= 0 {
 			break
 		}
 		b := q.heap[class][0]
-		switch p.place(now, b.owner, b.head, floor) {
+		w := b.head
+		switch p.place(now, b.owner, w, floor) {
 		case placed:
-			w := q.pop(class, b)
+			q.take(class, w)
 			p.rate.recordGrant(w.cost)
 			q.recordServed(w, p.cfg.BatchFloor)
 			p.recycle(w)
@@ -256,7 +265,7 @@
 				p.dispatchClass(now, Batch, true)
 			}
 		case tooLate:
-			p.dropHead(class, b)
+			p.drop(class, w)
 		case noRoom:
 			if p.noRoomForAny(now, class, floor) {
 				p.restoreSkipped(class)
@@ -277,11 +286,15 @@
 	p.queue.skipped = p.queue.skipped[:0]
 }
 
-// dropHead drops the head of a backlog and subtracts its cost from the
-// customer's virtual finish time, because it was not served.
-func (p *Pool) dropHead(class Priority, b *backlog) {
-	w := p.queue.pop(class, b)
+// drop drops a waiting request and subtracts its cost from the customer's virtual
+// finish time, because it was not served.
+func (p *Pool) drop(class Priority, w *waitingRequest) {
+	b := w.owner
+	p.queue.take(class, w)
 	b.virtualFinish = max(b.virtualFinish-w.cost/b.owner.weight, 0)
+	if p.queue.ordered(class) {
+		p.queue.updateStart(class, b)
+	}
 	p.recycle(w)
 }
 
--- a/pool/behaviour_test.go
+++ b/pool/behaviour_test.go
@@ -140,6 +140,17 @@
 	}
 }
 
+// forEachOrder runs a test with the order by arrival and with that by urgency.
+func forEachOrder(t *testing.T, test func(*testing.T, Config)) {
+	for _, urgency := range []bool{false, true} {
+		t.Run(fmt.Sprintf("urgency=%t", urgency), func(t *testing.T) {
+			cfg := DefaultConfig()
+			cfg.Urgency = urgency
+			test(t, cfg)
+		})
+	}
+}
+
 // fillBacklog sends requests until want requests of the customer wait or one is
 // not queued.
 func (s *simulation) fillBacklog(customer string, weight float64, priority Priority, want int) {
@@ -155,9 +166,11 @@
 
 // Guards against a customer that gets part of another's share: backlogged
 // customers must get tokens in proportion to their weights.
-func TestWeightedShareOfBackloggedCustomers(t *testing.T) {
+func TestWeightedShareOfBackloggedCustomers(t *testing.T) { forEachOrder(t, testWeightedShare) }
+
+func testWeightedShare(t *testing.T, cfg Config) {
 	g := NewWithT(t)
-	s := newSimulation(DefaultConfig(), 2)
+	s := newSimulation(cfg, 2)
 	weights := map[string]float64{"a": 1, "b": 2, "c": 5}
 	for i := range 8000 {
 		if i == 400 {
@@ -179,9 +192,11 @@
 
 // Guards against starvation of batch work, and against batch work above its floor
 // while interactive work waits.
-func TestBatchFloor(t *testing.T) {
+func TestBatchFloor(t *testing.T) { forEachOrder(t, testBatchFloor) }
+
+func testBatchFloor(t *testing.T, cfg Config) {
 	g := NewWithT(t)
-	s := newSimulation(DefaultConfig(), 2)
+	s := newSimulation(cfg, 2)
 	for range 4000 {
 		for range 3 {
 			s.fillBacklog("a", 1, Interactive, 8)
@@ -196,10 +211,12 @@
 // Guards against a flood by one customer that slows the others. With one customer
 // at ten times its share, the others must get at least 97% of the timely answers
 // that they get without the flood.
-func TestFloodAffectsOnlyItsCustomer(t *testing.T) {
+func TestFloodAffectsOnlyItsCustomer(t *testing.T) { forEachOrder(t, testFlood) }
+
+func testFlood(t *testing.T, cfg Config) {
 	g := NewWithT(t)
 	inTime := func(flood bool) int {
-		s := newSimulation(DefaultConfig(), 4)
+		s := newSimulation(cfg, 4)
 		random := rand.New(rand.NewPCG(5, 6))
 		sent := 0
 		for i := range 4000 {
@@ -247,10 +264,12 @@
 
 // Guards against granted requests that miss their deadline, which must be fewer
 // than 3%, and against refusals while there is room.
-func TestAdmittedRequestsMeetDeadlines(t *testing.T) {
+func TestAdmittedRequestsMeetDeadlines(t *testing.T) { forEachOrder(t, testDeadlines) }
+
+func testDeadlines(t *testing.T, cfg Config) {
 	g := NewWithT(t)
 	for _, factor := range []float64{0.5, 1.5, 4} {
-		e := runLoad(DefaultConfig(), 4, factor, 10)
+		e := runLoad(cfg, 4, factor, 10)
 		refused := e.refused[ReasonDeadline] + e.refused[ReasonOverloaded]
 		capacity := 10 * enginePrefill * 4 / 1100
 		t.Logf("load %.1f: granted %d, late %d, refused %v", factor, e.granted, e.late, e.refused)
@@ -276,9 +295,11 @@
 
 // Guards against a Retry-After value that is too low: a retry after it must be
 // admitted if no other request arrived.
-func TestRetryAfterIsLongEnough(t *testing.T) {
+func TestRetryAfterIsLongEnough(t *testing.T) { forEachOrder(t, testRetryAfter) }
+
+func testRetryAfter(t *testing.T, cfg Config) {
 	g := NewWithT(t)
-	s := newSimulation(DefaultConfig(), 2)
+	s := newSimulation(cfg, 2)
 	request := func() Request {
 		return Request{Customer: "a", PromptTokens: 1500, MaxTokens: 10, Deadline: s.now.Add(time.Second)}
 	}
@@ -395,7 +416,9 @@
 // Guards against a kind of request that is starved by another one: few long prompts
 // beside ten times as many short ones, below and above the capacity of the runners.
 // The load is that of estimates of 17,000 prompt tokens beside lookups of 400.
-func TestNoPromptSizeIsStarved(t *testing.T) {
+func TestNoPromptSizeIsStarved(t *testing.T) { forEachOrder(t, testPromptSizes) }
+
+func testPromptSizes(t *testing.T, cfg Config) {
 	const (
 		runners     = 12
 		length      = 20 * time.Second
@@ -406,7 +429,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			random := rand.New(rand.NewPCG(3, 5))
-			s := newSimulation(DefaultConfig(), runners)
+			s := newSimulation(cfg, runners)
 			// Nine tenths of the prompt tokens are those of long prompts.
 			tokens := overload * runners * enginePrefill * engineStep.Seconds()
 			rates := map[string]float64{"long": 0.9 * tokens / longTokens, "short": 0.1 * tokens / shortTokens}
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -108,9 +108,9 @@
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
 				kept = nil
-				before := heap()
+				before := heapBytes()
 				kept = make(count)
-				b.ReportMetric(float64(heap()-before)/float64(count), "bytes/"+name)
+				b.ReportMetric(float64(heapBytes()-before)/float64(count), "bytes/"+name)
 			}
 		})
 	}
@@ -153,7 +153,7 @@
 	runtime.KeepAlive(kept)
 }
 
-func heap() int64 {
+func heapBytes() int64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
--- a/pool/config.go
+++ b/pool/config.go
@@ -36,6 +36,9 @@
 	Transfer bool
 	// Corrections includes load reports in the predicted wait.
 	Corrections bool
+	// Urgency orders the requests of a customer, and within the fair share those of
+	// all customers, by the time that is left until their objective and by rank.
+	Urgency bool
 	// Learning updates the latency predictors from observed progress.
 	Learning bool
 }
--- a/pool/event.go
+++ b/pool/event.go
@@ -54,6 +54,12 @@
 	Whole bool
 	// Deadline is the latest time of the first token; zero means none.
 	Deadline time.Time
+	// Objective is the latest time of a timely first token; zero means none. An
+	// answer after it is worth less. It is used with Switches.Urgency only.
+	Objective time.Time
+	// Rank is the urgency of the request's kind; 0 is the most urgent. Values
+	// outside [0, maxRank] are clamped. It is used with Switches.Urgency only.
+	Rank int
 	// Adapter names the adapter that the runner must have; "" for none.
 	Adapter string
 	// Avoid names runners on which earlier attempts failed.
--- a/pool/place.go
+++ b/pool/place.go
@@ -13,6 +13,9 @@
 	placed placeResult = iota
 	// noRoom means that no runner has room for the request; it stays in the queue.
 	noRoom
+	// untimely means that the request would miss its objective, while others may
+	// still meet theirs.
+	untimely
 	// tooLate means that the request was refused because its deadline would be
 	// missed.
 	tooLate
@@ -42,7 +45,7 @@
 	p.currentView = View{
 		Now: now, Request: &w.request, Stage: stage, Config: &p.cfg,
 		Prompt: w.prompt, KV: w.kv, Sequence: p.sequence, UnderBatchFloor: floor,
-		PrefillWait: p.prefillWait, BetweenTokens: p.betweenTokens,
+		PrefillWait: p.waitBound(w, floor), BetweenTokens: p.betweenTokens,
 	}
 	return &p.currentView
 }
@@ -178,6 +181,9 @@
 		p.refuse(w, ReasonDeadline, retryAfter(late))
 		return tooLate
 	}
+	if p.cfg.Urgency && w.isUntimely(now, &best) {
+		return untimely
+	}
 	p.grant(now, c, w, &best)
 	return placed
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -29,6 +29,8 @@
 	poolPredictor latencyPredictor
 	// rate estimates the pool's service rate.
 	rate serviceRate
+	// lateRate estimates the service rate of the requests that lost their objective.
+	lateRate serviceRate
 
 	// arrived holds the totals of arrived work; its other fields are unused.
 	arrived       Demand
@@ -56,7 +58,7 @@
 		tickets:       map[Ticket]*ticket{},
 		lastTicket:    first,
 		customers:     map[string]*customer{},
-		queue:         fairQueue{fair: cfg.FairQueueing},
+		queue:         fairQueue{fair: cfg.FairQueueing, urgency: urgencyOrder{enabled: cfg.Urgency && cfg.FairQueueing}},
 		prefixes:      newPrefixIndex(cfg.PrefixBlocks),
 		poolPredictor: newPredictor(cfg.PrefillRate),
 		prefillWait:   cfg.PrefillWait.Seconds(), betweenTokens: cfg.BetweenTokens.Seconds(),
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -88,9 +88,17 @@
 			if b.heapIndex != i || b.head == nil {
 				t.Fatalf("heap entry %d has index %d, head %v", i, b.heapIndex, b.head)
 			}
+			var count [lanes]int
 			for w := b.head; w != nil; w = w.next {
 				waiting++
 				cost += w.cost
+				if p.queue.ordered(class) && b.lanes[w.lane][w.index] != w {
+					t.Fatalf("request %s is not in its lane", w.request.ID)
+				}
+				count[w.lane]++
+			}
+			if p.queue.ordered(class) && (len(b.lanes[laneFresh]) != count[laneFresh] || len(b.lanes[laneLate]) != count[laneLate]) {
+				t.Fatalf("lanes of %d and %d requests, want %v", len(b.lanes[laneFresh]), len(b.lanes[laneLate]), count)
 			}
 			weight += b.owner.weight
 		}
@@ -195,6 +203,10 @@
 	if rapid.Bool().Draw(t, "deadline") {
 		r.Deadline = m.now.Add(time.Duration(rapid.IntRange(-10, 3000).Draw(t, "budget")) * time.Millisecond)
 	}
+	if rapid.Bool().Draw(t, "objective") {
+		r.Objective = m.now.Add(time.Duration(drawTokens(t, "left")) * time.Millisecond)
+	}
+	r.Rank = drawTokens(t, "rank")
 	return r
 }
 
@@ -235,6 +247,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := DefaultConfig()
 		cfg.MaxQueued, cfg.MaxOpen, cfg.PrefixBlocks = 3, 4, 16
+		cfg.Urgency = rapid.Bool().Draw(t, "urgency")
 		m := &poolModel{
 			pool: New(cfg, 0), now: startTime, open: map[Ticket]Granted{}, waiting: map[string]string{},
 			granted: map[string]bool{}, refused: map[string]bool{}, banned: map[string]bool{}, bound: 18,
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -11,7 +11,8 @@
 	// virtualStart is the virtual start time, or the number of the arrival if fair
 	// queueing is off.
 	virtualStart float64
-	next         *waitingRequest
+	urgency
+	prev, next *waitingRequest
 }
 
 // customer is the fair queueing state of one customer.
@@ -36,6 +37,13 @@
 	virtualFinish float64
 	// heapIndex is the index in the heap, -1 if the backlog is not in it.
 	heapIndex int
+	// start is the virtual start time of the next request and lanes holds the waiting
+	// requests, in the order by urgency only.
+	start float64
+	lanes [lanes]laneHeap
+	// skippedAt is the number of the last dispatch in which no runner had room for
+	// the customer's next request.
+	skippedAt uint64
 }
 
 // fairQueue is a start-time fair queue for each priority: the waiting request
@@ -58,6 +66,7 @@
 	// batchCredit is the work in tokens that batch requests may get before
 	// interactive ones under the batch floor.
 	batchCredit float64
+	urgency     urgencyOrder
 	// skipped holds the backlogs that are taken out of the heap during a dispatch
 	// because no runner has room for their head.
 	skipped []*backlog
@@ -69,41 +78,69 @@
 	b := &c.class[class]
 	q.arrivals++
 	w.virtualStart = max(q.virtualTime[class]-q.catchUp, b.virtualFinish)
+	if b.head != nil && q.ordered(class) {
+		w.virtualStart = b.virtualFinish
+	}
 	b.virtualFinish = w.virtualStart + w.cost/c.weight
 	if !q.fair {
 		w.virtualStart = q.arrivals
 	}
 	if b.head == nil {
 		b.head = w
+		b.start = w.virtualStart
 		q.insert(class, b)
 		q.weight[class] += c.weight
 	} else {
-		b.tail.next = w
+		b.tail.next, w.prev = w, b.tail
 	}
 	b.tail = w
 	b.count++
 	b.cost += w.cost
 	q.cost[class] += w.cost
 	q.count++
+	w.owner, w.arrival = b, q.arrivals
+	if q.ordered(class) {
+		q.enterLane(w)
+		q.updateStart(class, b)
+	}
 }
 
-// pop removes the head of a backlog, which must be in the heap.
-func (q *fairQueue) pop(class Priority, b *backlog) *waitingRequest {
-	w := b.head
-	b.head = w.next
-	w.next = nil
+// take removes a request whose backlog is in the heap.
+func (q *fairQueue) take(class Priority, w *waitingRequest) {
+	b := w.owner
+	q.unlink(class, w)
+	switch {
+	case b.head == nil:
+		q.remove(class, b)
+		q.subtractEmpty(class, b)
+	case q.ordered(class):
+		q.updateStart(class, b)
+	default:
+		q.siftDown(class, b.heapIndex)
+	}
+}
+
+// unlink removes a request from its backlog and from the sums.
+func (q *fairQueue) unlink(class Priority, w *waitingRequest) {
+	b := w.owner
+	if w.prev == nil {
+		b.head = w.next
+	} else {
+		w.prev.next = w.next
+	}
+	if w.next == nil {
+		b.tail = w.prev
+	} else {
+		w.next.prev = w.prev
+	}
+	w.prev, w.next = nil, nil
 	b.count--
 	b.cost -= w.cost
 	q.cost[class] -= w.cost
 	q.count--
-	if b.head == nil {
-		b.tail = nil
-		q.remove(class, b)
-		q.subtractEmpty(class, b)
-	} else {
-		q.siftDown(class, b.heapIndex)
+	if q.ordered(class) {
+		q.leaveLane(w)
 	}
-	return w
 }
 
 // subtractEmpty subtracts an empty backlog from the sums. The sums of a
@@ -121,7 +158,7 @@
 // request.
 func (q *fairQueue) recordServed(w *waitingRequest, floor float64) {
 	class := w.request.Priority
-	if q.fair {
+	if q.fair && !q.ordered(class) {
 		q.virtualTime[class] = max(q.virtualTime[class], w.virtualStart)
 	}
 	switch {
@@ -152,27 +189,21 @@
 
 // filterBacklog removes the matching requests of one backlog.
 func (q *fairQueue) filterBacklog(class Priority, b *backlog, match func(*waitingRequest) bool, recycle func(*waitingRequest)) {
-	var last *waitingRequest
 	for w := b.head; w != nil; {
 		next := w.next
-		if !match(w) {
-			last = w
-			w = next
-			continue
-		}
-		if last == nil {
-			b.head = next
-		} else {
-			last.next = next
+		if match(w) {
+			q.unlink(class, w)
+			if q.ordered(class) {
+				// The customer isn't charged for what was not served.
+				b.virtualFinish = max(b.virtualFinish-w.cost/b.owner.weight, 0)
+			}
+			recycle(w)
 		}
-		b.count--
-		b.cost -= w.cost
-		q.cost[class] -= w.cost
-		q.count--
-		recycle(w)
 		w = next
 	}
-	b.tail = last
+	if b.head != nil {
+		b.start = b.virtualFinish - b.cost/b.owner.weight
+	}
 }
 
 // rebuild drops empty backlogs from the heap and restores its order.
@@ -221,6 +252,9 @@
 }
 
 func (q *fairQueue) less(class Priority, i, j int) bool {
+	if q.ordered(class) {
+		return q.heap[class][i].start < q.heap[class][j].start
+	}
 	return q.heap[class][i].head.virtualStart < q.heap[class][j].head.virtualStart
 }
 
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -103,6 +103,9 @@
 	if m.Budget > 0 {
 		m.Request.Deadline = now.Add(m.Budget)
 	}
+	if m.Objective > 0 {
+		m.Request.Objective = now.Add(m.Objective)
+	}
 	meter := h.meters[m.Pool]
 	meter.arrived(&m.Request)
 	answered := false
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -59,6 +59,8 @@
 	// Budget is the time left until the request's deadline; 0 means no deadline.
 	// An absolute time is not sent because the clocks of two VMs differ.
 	Budget time.Duration `cbor:"3,keyasint"`
+	// Objective is the time left until the request's objective; 0 means none.
+	Objective time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // NewGrantRequest returns the message that asks the scheduler of a pool for a
@@ -69,7 +71,10 @@
 	if !request.Deadline.IsZero() {
 		m.Budget = max(time.Until(request.Deadline), 1)
 	}
-	m.Request.Deadline = time.Time{}
+	if !request.Objective.IsZero() {
+		m.Objective = max(time.Until(request.Objective), 1)
+	}
+	m.Request.Deadline, m.Request.Objective = time.Time{}, time.Time{}
 	return m
 }
 
