--- a/edge/grants.go
+++ b/edge/grants.go
@@ -39,6 +39,7 @@
 	grantsByScheduler = metrics.NewCounter(`mimosakeel_edge_grants_total{by="scheduler"}`)
 	grantsFallback    = metrics.NewCounter(`mimosakeel_edge_grants_total{by="fallback"}`)
 	grantsMoved       = metrics.NewCounter("mimosakeel_edge_grants_moved_total")
+	grantsLate        = metrics.NewCounter("mimosakeel_edge_grants_late_total")
 	grantsRefused     = metrics.NewCounter("mimosakeel_edge_grants_refused_total")
 	serversUnreadable = metrics.NewCounter("mimosakeel_edge_servers_unreadable_total")
 	inboxDropped      = metrics.NewCounter("mimosakeel_edge_inbox_dropped_total")
@@ -144,6 +145,10 @@
 		return nil, unusable, nil
 	}
 	place.Inputs = append(g.decisionFields(route, scheduler), event.F("expected_first", reply.Granted.FirstToken.Round(time.Millisecond).String()))
+	if reply.Granted.Late {
+		grantsLate.Inc()
+		place.Inputs = append(place.Inputs, event.F("objective", "lost_in_queue"))
+	}
 	t.runners, t.blocks = []string{reply.Granted.Runner, reply.Granted.Prefill}, request.Blocks
 	return place, "", nil
 }
--- a/pool/event.go
+++ b/pool/event.go
@@ -231,6 +231,8 @@
 	// FirstToken and BetweenTokens are the predicted time to first token and time
 	// between tokens.
 	FirstToken, BetweenTokens time.Duration
+	// Late is set if the request lost its objective while it waited.
+	Late bool
 }
 
 // Refused refuses a request. It has not run.
--- a/pool/place.go
+++ b/pool/place.go
@@ -314,7 +314,9 @@
 	p.openTicket(now, t)
 	p.storeBlocks(t.prefillRunner, w.request.Blocks)
 	t.blocks = w.request.Blocks
-	p.emit(p.grantedAction(now, t, source, best))
+	granted := p.grantedAction(now, t, source, best)
+	granted.Late = w.lane == laneLate
+	p.emit(granted)
 }
 
 func (p *Pool) grantedAction(now time.Time, t *ticket, source *runner, best *plan) Granted {
--- a/pool/urgency.go
+++ b/pool/urgency.go
@@ -29,7 +29,7 @@
 	// request stays in the fresh lane. Long prompts may have no chance to meet the
 	// objective. With a quarter, the longest tenth of a kind is served less than half
 	// as often as the kind at twice the capacity.
-	minSlackShare = 0.5
+	minSlackShare = 0.4
 	// maxSlack bounds the time from the arrival to the latest start in the order,
 	// so that an objective far in the future doesn't make a request wait endlessly.
 	// A request without an objective gets half of it.
@@ -37,12 +37,11 @@
 	// lateWaitShare is the place of a late request between its latest start and its
 	// deadline.
 	lateWaitShare = 0.5
-	// lateFloor is the share of the granted tokens that late requests of rank 0 get
-	// while both lanes wait, and minLateFloor that of high ranks. More for rank 0
-	// takes timely answers from the other kinds (0.5: a tenth of the value of D2 at
-	// 1.2 times the capacity), less lets kinds of higher rank be served more often.
-	lateFloor    = 0.3
-	minLateFloor = 0.15
+	// lateFloor is the share of the granted tokens that late requests get while both
+	// lanes wait. Each kind is to be served at least a quarter as often as all. A
+	// larger share takes timely answers from other requests: 0.3 for rank 0 lowers the
+	// value of D2 at 1.5 times the capacity from 0.756 to 0.689.
+	lateFloor = 0.2
 	// urgencyLead is the time, in work at the service rate, by which customers may
 	// be ahead of their fair share because their requests are more urgent.
 	urgencyLead = 500 * time.Millisecond
@@ -50,8 +49,8 @@
 	// which fresh requests of rank 0 and all others are placed. Prompts on a runner
 	// are processed in the order of their arrival there, so the order among waiting
 	// requests matters only if little work waits on the runners.
-	urgentWaitShare  = 0.3
-	relaxedWaitShare = 0.15
+	urgentWaitShare  = 0.4
+	relaxedWaitShare = 0.25
 	// maxCompared bounds the customers whose requests are compared for one grant, and
 	// maxSampled the requests of one customer from which the work ahead of a new one
 	// is estimated, so that the cost of a step doesn't grow with their number.
@@ -128,10 +127,8 @@
 type urgencyOrder struct {
 	enabled bool
 	count   [lanes]int
-	// cost is the work in each lane by rank, lateCount the number of requests in the
-	// late lane by rank.
-	cost      [lanes][maxRank + 1]float64
-	lateCount [maxRank + 1]int
+	// cost is the work in each lane by rank.
+	cost [lanes][maxRank + 1]float64
 	// lateCredit is the work in tokens that late requests may get before fresh ones.
 	lateCredit float64
 	// attempt numbers the dispatches, see backlog.skippedAt.
@@ -180,7 +177,6 @@
 	o := &q.urgency
 	heap.Push(&w.owner.lanes[w.lane], w)
 	o.count[w.lane]++
-	o.lateCount[w.rank] += w.lane
 	o.cost[w.lane][w.rank] += w.cost
 }
 
@@ -190,7 +186,6 @@
 	o := &q.urgency
 	heap.Remove(&w.owner.lanes[w.lane], w.index)
 	o.count[w.lane]--
-	o.lateCount[w.rank] -= w.lane
 	o.cost[w.lane][w.rank] -= w.cost
 	if o.count[w.lane] == 0 {
 		o.cost[w.lane] = [maxRank + 1]float64{}
@@ -220,7 +215,7 @@
 // it is that of the customer that is the least ahead. nextUrgent advances virtual
 // time to the customer that is furthest behind and moves the late requests that it
 // finds.
-func (q *fairQueue) nextUrgent(now int64, lane int, freshOnly bool, lead float64) *waitingRequest {
+func (q *fairQueue) nextUrgent(now int64, lane int, lead float64) *waitingRequest {
 	h := q.heap[Interactive]
 	if len(h) == 0 {
 		return nil
@@ -238,7 +233,7 @@
 			q.makeLate(b.lanes[laneFresh][0])
 		}
 		for l := range best {
-			if len(b.lanes[l]) == 0 || l == laneLate && freshOnly {
+			if len(b.lanes[l]) == 0 {
 				continue
 			}
 			w := b.lanes[l][0]
@@ -260,29 +255,15 @@
 	o := &q.urgency
 	switch {
 	case w.lane == laneFresh && o.count[laneLate] > 0:
-		o.lateCredit += lateShare(o.lowestLate()) * w.cost
+		o.lateCredit += lateFloor * w.cost
 	case w.lane == laneFresh:
 		// No credit accumulates while no late request waits.
 		o.lateCredit = min(o.lateCredit, 0)
 	case o.count[laneFresh] > 0:
-		o.lateCredit -= (1 - lateShare(w.rank)) * w.cost
+		o.lateCredit -= (1 - lateFloor) * w.cost
 	}
 }
 
-// lowestLate returns the lowest rank in the late lane.
-func (o *urgencyOrder) lowestLate() int {
-	for rank, count := range o.lateCount {
-		if count > 0 {
-			return rank
-		}
-	}
-	return maxRank
-}
-
-// lateShare returns the share of the granted tokens that late requests of a rank
-// get while both lanes wait.
-func lateShare(rank int) float64 { return max(lateFloor/float64(rank+1), minLateFloor) }
-
 // dispatchUrgent grants waiting interactive requests in the order of urgency. Late
 // requests go first as long as their floor has credit.
 func (p *Pool) dispatchUrgent(now time.Time) {
@@ -291,13 +272,12 @@
 	o.attempt++
 	at := now.UnixNano()
 	p.lateRate.advance(now, o.count[laneLate] > 0)
-	freshOnly := false
 	for skipped := 0; skipped < maxSkippedBacklogs; {
 		lane := laneFresh
-		if o.lateCredit > 0 && !freshOnly {
+		if o.lateCredit > 0 {
 			lane = laneLate
 		}
-		w := q.nextUrgent(at, lane, freshOnly, p.leadVirtualTime())
+		w := q.nextUrgent(at, lane, p.leadVirtualTime())
 		if w == nil {
 			return
 		}
@@ -321,16 +301,12 @@
 			p.drop(Interactive, w)
 		case noRoom:
 			p.probeRequest.urgency = urgency{rank: w.rank, lane: w.lane, underFloor: w.underFloor}
-			if !p.noRoomForAny(now, Interactive, false) {
-				w.owner.skippedAt = o.attempt
-				skipped++
-				continue
-			}
-			if w.lane == laneFresh || o.count[laneFresh] == 0 {
-				// The bounds of late requests are no larger than those of fresh ones.
+			if p.noRoomForAny(now, Interactive, false) {
+				// The bounds of the requests that are next are no larger.
 				return
 			}
-			freshOnly = true
+			w.owner.skippedAt = o.attempt
+			skipped++
 		}
 	}
 }
@@ -391,7 +367,7 @@
 	late := sum(q.urgency.cost[laneLate][:w.rank+1]) + max(fresh-slack, 0)*rate
 	key := w.lateKey()
 	earliest, _ = shareWait(b.ahead(laneFresh, key) + b.ahead(laneLate, key))
-	return max(slack+late/p.lateTokenRate(rate, lateShare(w.rank)), earliest)
+	return max(slack+late/p.lateTokenRate(rate), earliest)
 }
 
 func sum(values []float64) float64 {
@@ -415,9 +391,8 @@
 	return total * float64(len(h)) / float64(max(len(sampled), 1))
 }
 
-// lateTokenRate returns the service rate of the late lane in tokens per second.
-// It is at least the share that floor guarantees of rate, which is that of the
-// pool.
-func (p *Pool) lateTokenRate(rate, floor float64) float64 {
-	return max(p.lateRate.perSecond(floor*rate), floor*rate)
+// lateTokenRate returns the service rate of the late lane in tokens per second,
+// which is at least lateFloor of the pool's rate.
+func (p *Pool) lateTokenRate(rate float64) float64 {
+	return max(p.lateRate.perSecond(lateFloor*rate), lateFloor*rate)
 }
