--- a/edge/grants_test.go
+++ b/edge/grants_test.go
@@ -162,6 +162,24 @@
 	g.Expect(third.Blocks[1]).NotTo(Equal(first.Blocks[1]))
 }
 
+// Guards against an objective or rank that is lost between the configuration and the
+// pool, and against absolute times in messages between VMs whose clocks differ.
+func TestObjectiveAndRankReachThePool(t *testing.T) {
+	g := NewWithT(t)
+	p := engineRequest()
+	p.Request.Arrived, p.Request.Priority = time.Now(), 3
+	g.Expect(poolRequest("1", "self", "fd-a", p).Objective).To(BeZero())
+	p.Request.Route = &catalog.Route{Objective: 800 * time.Millisecond}
+	request := poolRequest("1", "self", "fd-a", p)
+	g.Expect(request.Rank).To(Equal(3))
+	g.Expect(request.Objective).To(Equal(p.Request.Arrived.Add(800 * time.Millisecond)))
+	m := schedule.NewGrantRequest("p", request)
+	g.Expect(m.Request.Objective).To(BeZero())
+	g.Expect(m.Objective).To(And(BeNumerically(">", 0), BeNumerically("<=", 800*time.Millisecond)))
+	g.Expect(poolConfig(&catalog.Engine{}, SchedulingSettings{}).Urgency).To(BeFalse())
+	g.Expect(poolConfig(&catalog.Engine{}, DefaultSettings().Scheduling).Urgency).To(BeTrue())
+}
+
 // Guards against a message that two goroutines use at the same time: the control
 // goroutine changes a request that it receives, while the outbox of the silent
 // scheduler still encodes it. The race detector reports it.
