--- a/edge/settings.go
+++ b/edge/settings.go
@@ -65,7 +65,7 @@
 	Fleet FleetSettings `json:"fleet"`
 	// CustomerLimits sets how limits of customers are applied over all daemons.
 	CustomerLimits CustomerLimitSettings `json:"customer_limits"`
-	// Scheduling configures how servers are chosen.
+	// Scheduling sets how requests are ordered and how servers are chosen.
 	Scheduling SchedulingSettings `json:"scheduling"`
 	// LogLevel is debug, info, warn or error. Unit: text. Default: info.
 	LogLevel string `json:"log_level"`
@@ -144,13 +144,18 @@
 	MaxWait time.Duration `json:"max_wait"`
 }
 
-// SchedulingSettings configure how servers are chosen.
+// SchedulingSettings set how requests are ordered and how servers are chosen. All
+// daemons need equal values.
 type SchedulingSettings struct {
 	// ExpectedCost chooses servers by the expected time of each request, from the learned
 	// work of its kind, the learned speed of the servers and the outstanding work of all
 	// daemons; otherwise servers of plain services are chosen by open requests, and the
 	// length of answers is expected per customer. Unit: true or false. Default: true.
 	ExpectedCost bool `json:"expected_cost"`
+	// Urgency orders waiting requests by the time that is left until their objective
+	// and by priority, within the fair share of customers; false orders them by fair
+	// share and arrival only. Unit: boolean. Default: true.
+	Urgency bool `json:"urgency"`
 }
 
 // DefaultSettings returns the default settings. Required settings are empty.
@@ -163,7 +168,7 @@
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
 		Fleet:      FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
-		Scheduling: SchedulingSettings{ExpectedCost: true},
+		Scheduling: SchedulingSettings{ExpectedCost: true, Urgency: true},
 		LogLevel:   "info",
 
 		CustomerLimits: CustomerLimitSettings{HomeTimeout: 25 * time.Millisecond, MaxWait: 250 * time.Millisecond},
--- a/edge/work_report.go
+++ b/edge/work_report.go
@@ -58,7 +58,6 @@
 	if !d.Settings.Scheduling.ExpectedCost {
 		return
 	}
-	d.control.pools.expectedAnswers = true
 	d.plain.costs = newPlainCosts()
 	w := &workReporter{
 		plain: d.plain, send: d.send, events: d.Events,
--- a/pool/place.go
+++ b/pool/place.go
@@ -13,6 +13,9 @@
 	placed placeResult = iota
 	// noRoom means that no runner has room for the request; it stays in the queue.
 	noRoom
+	// untimely means that the request would miss its objective, while others may
+	// still meet theirs.
+	untimely
 	// tooLate means that the request was refused because its deadline would be
 	// missed.
 	tooLate
@@ -42,7 +45,7 @@
 	p.currentView = View{
 		Now: now, Request: &w.request, Stage: stage, Config: &p.cfg,
 		Prompt: w.prompt, KV: w.kv, Sequence: p.sequence, UnderBatchFloor: floor,
-		PrefillWait: p.prefillWait, BetweenTokens: p.betweenTokens,
+		PrefillWait: p.waitBound(w, floor), BetweenTokens: p.betweenTokens,
 	}
 	return &p.currentView
 }
@@ -178,6 +181,9 @@
 		p.refuse(w, ReasonDeadline, retryAfter(late))
 		return tooLate
 	}
+	if p.cfg.Urgency && w.isUntimely(now, &best) {
+		return untimely
+	}
 	p.grant(now, c, w, &best)
 	return placed
 }
@@ -308,7 +314,9 @@
 	p.openTicket(now, t)
 	p.storeBlocks(t.prefillRunner, w.request.Blocks)
 	t.blocks = w.request.Blocks
-	p.emit(p.grantedAction(now, t, source, best))
+	granted := p.grantedAction(now, t, source, best)
+	granted.Late = w.lane == laneLate
+	p.emit(granted)
 }
 
 func (p *Pool) grantedAction(now time.Time, t *ticket, source *runner, best *plan) Granted {
