provision: decision of the number of servers by demand

Schedulers now report the load of their pools to the lease holder, which compares the price of servers with the requests that would be late without them. The setting fleet.plan selects it; the ratio stays the default.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -220,6 +220,13 @@
 // Service returns the service with the given name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// Routes calls visit for every route, in no particular order.
+func (c *Catalog) Routes(visit func(*Route)) {
+	for _, r := range c.routes {
+		visit(r)
+	}
+}
+
 // Services calls visit for each service.
 func (c *Catalog) Services(visit func(*Service)) {
 	for _, s := range c.services {
--- a/edge/control.go
+++ b/edge/control.go
@@ -105,6 +105,8 @@
 	heartbeatDue  bool
 	heartbeatSent time.Time
 	stopping      bool
+	// demandNext is the time of the next reports of the pools' loads.
+	demandNext time.Time
 	// leaving holds the incarnations that have begun a planned stop, by VM.
 	leaving map[string]string
 }
@@ -191,6 +193,7 @@
 	c.tickFeeds(now)
 	c.host.Tick(now)
 	c.duties.tick(now)
+	c.reportDemand(now)
 	c.quarantine.tick(now)
 	if c.dropFinishedRoleChanges(now) {
 		c.rolesChanged = true
@@ -324,6 +327,8 @@
 		c.answerPull(now, ev.from, m)
 	case *RolesChanging:
 		c.addRoleChanges(now, m)
+	case *PoolDemand:
+		c.fleet.addDemand(now, ev.from, m)
 	case *UsageCounts:
 		c.duties.ledger.Merge(m.Incarnation, m.Windows)
 		c.duties.ledger.NoteClosed(m.Closed)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -172,6 +172,7 @@
 		services:   map[string]*serviceFleet{},
 		baseCounts: map[string]int{},
 		observed:   map[string]observedCount{},
+		badDemand:  map[string]string{},
 	}
 }
 
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -99,6 +99,8 @@
 	// seen. observed holds the numbers that are not settled yet.
 	baseCounts map[string]int
 	observed   map[string]observedCount
+	// badDemand holds the last problem of the reports of a pool, by pool.
+	badDemand map[string]string
 }
 
 // observedCount is a number of engines and the time since which it has been
@@ -109,8 +111,10 @@
 }
 
 // serviceFleet holds the planners of one service during a term. roles holds one
-// planner per pool.
+// planner per pool. need is nil and last is empty unless the plan is by demand.
 type serviceFleet struct {
+	need     *provision.Need
+	last     provision.Decision
 	servers  *provision.Servers
 	roles    map[string]*provision.Roles
 	assigner pool.Assigner
@@ -169,10 +173,18 @@
 	listed := f.control.servers.Load().ofService(s.Name)
 	engines := provisionEngines(listed)
 	base, known := f.baseCount(now, s.Name, len(engines))
-	if known && plan.servers == nil && s.Scaling != nil && f.settings.OnDemand+f.settings.Cheap > 0 {
+	byDemand := f.settings.Plan == planDemand
+	if byDemand != (plan.need != nil) {
+		// The setting has changed.
+		plan.servers, plan.need, plan.last = nil, nil, provision.Decision{}
+	}
+	if byDemand && s.Scaling != nil {
+		f.orderByDemand(now, term, s, plan, engines)
+	}
+	if !byDemand && known && plan.servers == nil && s.Scaling != nil && f.settings.OnDemand+f.settings.Cheap > 0 {
 		plan.servers = provision.NewServers(f.serverConfig(s.Scaling, base))
 	}
-	if plan.servers != nil {
+	if !byDemand && plan.servers != nil {
 		for _, o := range plan.servers.Step(now, engines) {
 			f.orderCount(term, s.Name, o)
 		}
--- a/edge/message.go
+++ b/edge/message.go
@@ -25,6 +25,7 @@
 	kindQuarantined   peer.Kind = 40
 	kindServerLimit   peer.Kind = 41
 	kindFeedNotice    peer.Kind = 42
+	kindPoolDemand    peer.Kind = 45
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -168,6 +169,8 @@
 		return &Push{}
 	case kindFeedNotice:
 		return &FeedNotice{}
+	case kindPoolDemand:
+		return &PoolDemand{}
 	case kindRolesChanging:
 		return &RolesChanging{}
 	case kindCounts:
--- a/edge/scale_test.go
+++ b/edge/scale_test.go
@@ -70,6 +70,7 @@
 	c.duties.clock = metering.NewClock(bootNow, time.Now)
 	c.duties.counter, c.duties.send = metering.NewCounter(time.Second), func(string, *UsageCounts) {}
 	c.clock = c.duties.clock
+	c.fleet = d.newFleet(c.duties)
 	c.quarantine = newQuarantineControl(c, DefaultSettings().Quarantine, newContentGuard(c.clock.Now))
 	c.announcer = newAnnouncer(newMemoryTopics(), hosting.Topic{}, vm, testMember(incarnation), events)
 	sc := &scaleControl{control: c, now: time.Now()}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -109,6 +109,13 @@
 // ordered, and their roles. Numbers are relative to the number of engines that
 // the service had when it was first seen.
 type FleetSettings struct {
+	// Plan selects how the number of engines is decided: "ratio" keeps on_demand and
+	// cheap, "demand" follows the load. All daemons need equal values. Unit: text.
+	// Default: ratio.
+	Plan string `json:"plan"`
+	// LateCost is what a late or refused request costs in the plan "demand". Unit:
+	// seconds of a server of price 1. Default: 1.
+	LateCost float64 `json:"late_cost"`
 	// OnDemand is the number of engines on on-demand servers, which can't be
 	// evicted. If this and cheap are 0, no servers are ordered. Unit: ratio.
 	// Default: 0.22.
@@ -133,7 +140,7 @@
 		Quarantine: QuarantineSettings{Crashes: 4, RequestCrashes: 3, For: 10 * time.Minute},
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
-		Fleet:      FleetSettings{OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
+		Fleet:      FleetSettings{Plan: planRatio, LateCost: 1, OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
 		LogLevel:   "info",
 	}
 }
@@ -207,6 +214,12 @@
 			d.Report(name, "must be positive")
 		}
 	}
+	if s.Fleet.Plan != planRatio && s.Fleet.Plan != planDemand {
+		d.Report("fleet.plan", "must be ratio or demand")
+	}
+	if !(s.Fleet.LateCost > 0) {
+		d.Report("fleet.late_cost", "must be positive")
+	}
 	if s.MemoryMB < 0 {
 		d.Report("memory_mb", "must not be negative")
 	}
--- a/fleet/capacity.go
+++ b/fleet/capacity.go
@@ -24,13 +24,13 @@
 // prefillUnits returns the predicted prefill work after the lead time, in
 // engines that do only prefill.
 func (m *model) prefillUnits(lead time.Duration) float64 {
-	return m.prefill.predict(lead) / m.prefillRate
+	return m.prefill.Predict(lead) / m.prefillRate
 }
 
 // decodeUnits returns the predicted decode work after the lead time, in engines
 // that do only decode.
 func (m *model) decodeUnits(lead time.Duration) float64 {
-	return m.decode.predict(lead) / m.decodeRate
+	return m.decode.Predict(lead) / m.decodeRate
 }
 
 // units returns the predicted work after the lead time in mixed engines.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -188,7 +188,7 @@
 type model struct {
 	Model
 	listed          bool
-	prefill, decode forecast
+	prefill, decode Forecast
 	batchShare      float64
 	// prefillRate and decodeRate are the throughput of one engine in tokens per
 	// second.
@@ -302,7 +302,10 @@
 func (f *Fleet) ensureModel(name string) *model {
 	m := f.models[name]
 	if m == nil {
-		m = &model{prefillRate: initialPrefillRate, decodeRate: initialDecodeRate}
+		m = &model{
+			prefill: NewForecast(fastTime, slowTime), decode: NewForecast(fastTime, slowTime),
+			prefillRate: initialPrefillRate, decodeRate: initialDecodeRate,
+		}
 		f.models[name] = m
 	}
 	return m
@@ -313,8 +316,8 @@
 	if m == nil {
 		return
 	}
-	m.prefill.observe(now, ev.Prefill)
-	m.decode.observe(now, ev.Decode)
+	m.prefill.Observe(now, ev.Prefill)
+	m.decode.Observe(now, ev.Decode)
 	m.batchShare = min(max(ev.BatchShare, 0), 1)
 	m.prefillRate = plausibleRate(ev.PrefillRate, m.prefillRate)
 	m.decodeRate = plausibleRate(ev.DecodeRate, m.decodeRate)
--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// fastTimeConstant and slowTimeConstant are the time constants of the two
-	// averages in seconds. The fast one covers several requests, the slow one
-	// the lead time of a server.
-	fastTimeConstant = 10.0
-	slowTimeConstant = 60.0
+	// fastTime and slowTime are the time constants of the forecast of a model's
+	// demand. The fast one covers several requests, the slow one the lead time of a
+	// server.
+	fastTime = 10 * time.Second
+	slowTime = 60 * time.Second
 	// maxGrowth bounds the forecast as a multiple of the larger average.
 	maxGrowth = 2.0
 	// maxObservationGap is the longest time in seconds that one observation
@@ -18,20 +18,30 @@
 	maxObservationGap = 10.0
 )
 
-// forecast extrapolates a rate from a fast and a slow exponential moving
+// Forecast extrapolates a rate from a fast and a slow exponential moving
 // average. On a steady ramp each average lags by its time constant, so the
 // difference of the two gives the slope.
-type forecast struct {
-	fast, slow float64
-	at         time.Time
+type Forecast struct {
+	// fastTime and slowTime are the time constants in seconds.
+	fastTime, slowTime float64
+	fast, slow         float64
+	at                 time.Time
 }
 
-func (f *forecast) observe(now time.Time, value float64) {
+// NewForecast returns a forecast with the given time constants, of which slow
+// must be longer than fast.
+func NewForecast(fast, slow time.Duration) Forecast {
+	return Forecast{fastTime: fast.Seconds(), slowTime: slow.Seconds()}
+}
+
+// Observe adds an observation. Values that are negative or not finite are
+// ignored.
+func (f *Forecast) Observe(now time.Time, value float64) {
 	if !(value >= 0) || math.IsInf(value, 0) {
 		return
 	}
 	if f.at.IsZero() {
-		*f = forecast{fast: value, slow: value, at: now}
+		f.fast, f.slow, f.at = value, value, now
 		return
 	}
 	elapsed := min(now.Sub(f.at).Seconds(), maxObservationGap)
@@ -39,14 +49,17 @@
 		return
 	}
 	f.at = now
-	f.fast += (1 - math.Exp(-elapsed/fastTimeConstant)) * (value - f.fast)
-	f.slow += (1 - math.Exp(-elapsed/slowTimeConstant)) * (value - f.slow)
+	f.fast += (1 - math.Exp(-elapsed/f.fastTime)) * (value - f.fast)
+	f.slow += (1 - math.Exp(-elapsed/f.slowTime)) * (value - f.slow)
 }
 
-// predict returns the expected rate after the lead time.
-func (f *forecast) predict(lead time.Duration) float64 {
-	slope := (f.fast - f.slow) / (slowTimeConstant - fastTimeConstant)
-	predicted := f.fast + slope*(fastTimeConstant+lead.Seconds())
+// Average returns the fast average.
+func (f *Forecast) Average() float64 { return f.fast }
+
+// Predict returns the expected rate after the lead time.
+func (f *Forecast) Predict(lead time.Duration) float64 {
+	slope := (f.fast - f.slow) / (f.slowTime - f.fastTime)
+	predicted := f.fast + slope*(f.fastTime+lead.Seconds())
 	return min(max(predicted, 0), maxGrowth*max(f.fast, f.slow))
 }
 
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -61,6 +61,18 @@
 	// PrefillRate and DecodeRate are the predicted rates of one runner in tokens
 	// per second.
 	PrefillRate, DecodeRate float64
+	// Grants is the number of grants since the pool was created, GrantedPrompt the
+	// length of their prompts and GrantedPrefill the part of it that was not cached.
+	// GrantedSquares is the sum of the squares of the latter.
+	Grants, GrantedPrompt, GrantedPrefill, GrantedSquares float64
+}
+
+// recordGrant adds a ticket to the totals of granted work.
+func (d *Demand) recordGrant(t *ticket) {
+	d.Grants++
+	d.GrantedPrompt += float64(t.prompt)
+	d.GrantedPrefill += float64(t.prefill)
+	d.GrantedSquares += float64(t.prefill) * float64(t.prefill)
 }
 
 // Demand returns the outstanding and arrived work of the pool.
@@ -97,3 +109,37 @@
 	}
 	return best
 }
+
+// RunnerWork is the outstanding work of a listed runner.
+type RunnerWork struct {
+	FailureDomain string
+	Cheap         bool
+	// Prefills is set if the runner prefills prompts for others or itself, Wait is
+	// the predicted wait there and Work all outstanding work, in seconds.
+	Prefills   bool
+	Wait, Work float64
+	// Memory is the share of the KV memory that is reserved.
+	Memory float64
+}
+
+// Work appends the outstanding work of the listed runners that are up.
+func (p *Pool) Work(now time.Time, out []RunnerWork) []RunnerWork {
+	decode := p.decodeRate()
+	for _, r := range p.runners {
+		if r == nil || !r.up(now, &p.cfg) || r.info.State != hosting.ServerLive {
+			continue
+		}
+		c := Candidate{}
+		r.candidate(now, &p.cfg, &c)
+		w := RunnerWork{
+			FailureDomain: r.info.FailureDomain, Cheap: r.info.Class == hosting.ClassCheap,
+			Prefills: r.info.Role != backend.RoleDecode, Wait: c.Wait, Work: c.Wait,
+			Memory: float64(r.kv) / float64(max(c.Memory, 1)),
+		}
+		if decode > 0 {
+			w.Work += float64(r.decode) / decode
+		}
+		out = append(out, w)
+	}
+	return out
+}
--- a/pool/ticket.go
+++ b/pool/ticket.go
@@ -54,6 +54,7 @@
 	t.granted = now
 	t.customer.open++
 	p.tickets[t.id] = t
+	p.arrived.recordGrant(t)
 	if t.prefillRunner.prefill == 0 {
 		t.prefillRunner.prefillStart = now
 	}
--- a/provision/provision_test.go
+++ b/provision/provision_test.go
@@ -160,11 +160,11 @@
 }
 
 // platform simulates a platform that carries out orders immediately.
-type platform struct{ count map[serverGroup]int }
+type platform struct{ count map[Group]int }
 
 func (p *platform) apply(orders []ServerOrder) {
 	for _, o := range orders {
-		p.count[serverGroup{o.FailureDomain, o.Class}] = o.Count
+		p.count[Group{o.FailureDomain, o.Class}] = o.Count
 	}
 }
 
@@ -172,7 +172,7 @@
 	var out []Engine
 	for group, n := range p.count {
 		for i := range n {
-			out = append(out, Engine{ID: fmt.Sprint(group, i), FailureDomain: group.domain, Cheap: group.class == hosting.ClassCheap})
+			out = append(out, Engine{ID: fmt.Sprint(group, i), FailureDomain: group.FailureDomain, Cheap: group.Class == hosting.ClassCheap})
 		}
 	}
 	return out
@@ -181,7 +181,7 @@
 func (p *platform) total(class hosting.ServerClass) int {
 	n := 0
 	for group, count := range p.count {
-		if group.class == class {
+		if group.Class == class {
 			n += count
 		}
 	}
@@ -193,7 +193,7 @@
 func TestServersReachConfiguredCounts(t *testing.T) {
 	g := NewWithT(t)
 	p := NewServers(serverConfig())
-	sim := &platform{count: map[serverGroup]int{{"a", hosting.ClassOnDemand}: 3, {"c", hosting.ClassOnDemand}: 6}}
+	sim := &platform{count: map[Group]int{{"a", hosting.ClassOnDemand}: 3, {"c", hosting.ClassOnDemand}: 6}}
 	for i := range 60 {
 		sim.apply(p.Step(start.Add(time.Duration(i)*500*time.Millisecond), sim.engines()))
 	}
@@ -205,10 +205,10 @@
 func TestRefusedOrderKeepsRunningServers(t *testing.T) {
 	g := NewWithT(t)
 	p := NewServers(serverConfig())
-	sim := &platform{count: map[serverGroup]int{}}
+	sim := &platform{count: map[Group]int{}}
 	sim.apply(p.Step(start, sim.engines()))
-	running := sim.count[serverGroup{"a", hosting.ClassCheap}]
-	sim.count[serverGroup{"b", hosting.ClassCheap}] = 0
+	running := sim.count[Group{"a", hosting.ClassCheap}]
+	sim.count[Group{"b", hosting.ClassCheap}] = 0
 	now := start.Add(10 * time.Second)
 	for _, o := range p.Step(now, sim.engines()) {
 		p.OrderRefused(now, o)
@@ -228,10 +228,10 @@
 func TestOnDemandServersReplaceMissingCheapUpToFloor(t *testing.T) {
 	g := NewWithT(t)
 	p := NewServers(serverConfig())
-	sim := &platform{count: map[serverGroup]int{}}
+	sim := &platform{count: map[Group]int{}}
 	sim.apply(p.Step(start, sim.engines()))
 	for group := range sim.count {
-		if group.class == hosting.ClassCheap {
+		if group.Class == hosting.ClassCheap {
 			sim.count[group] = 0
 		}
 	}
@@ -253,9 +253,9 @@
 func TestServersStayInTheirFailureDomain(t *testing.T) {
 	g := NewWithT(t)
 	p := NewServers(serverConfig())
-	sim := &platform{count: map[serverGroup]int{}}
+	sim := &platform{count: map[Group]int{}}
 	sim.apply(p.Step(start, sim.engines()))
-	evictedGroup := serverGroup{"b", hosting.ClassCheap}
+	evictedGroup := Group{"b", hosting.ClassCheap}
 	sim.count[evictedGroup] = 0
 	evicted := Engine{ID: "x", FailureDomain: "b", Cheap: true, Leaving: true, Evicted: true}
 	now := start.Add(10 * time.Second)
--- a/provision/servers.go
+++ b/provision/servers.go
@@ -39,12 +39,6 @@
 	Count         int
 }
 
-// serverGroup identifies the servers of one class in one failure domain.
-type serverGroup struct {
-	domain string
-	class  hosting.ServerClass
-}
-
 // Servers plans the number of servers by class and failure domain. It is not
 // safe for concurrent use.
 //
@@ -57,14 +51,18 @@
 	// domains lists the failure domains by ascending price.
 	domains []string
 	// target is the planned number of servers.
-	target    map[serverGroup]int
-	lastOrder map[serverGroup]orderedCount
+	target    map[Group]int
+	lastOrder map[Group]orderedCount
 	// deniedAt is the last time at which a cheap order of the failure domain was
 	// refused or a cheap server of it was evicted.
 	deniedAt map[string]time.Time
 	// surplusSince is the time since which a class has had more servers than
 	// needed.
 	surplusSince map[hosting.ServerClass]time.Time
+	// work is the outstanding work of each group and have its running servers in the
+	// present step.
+	work map[Group]float64
+	have map[Group]int
 }
 
 // orderedCount is the last order for a group and its time.
@@ -84,8 +82,8 @@
 	return &Servers{
 		cfg:          cfg,
 		domains:      domains,
-		target:       map[serverGroup]int{},
-		lastOrder:    map[serverGroup]orderedCount{},
+		target:       map[Group]int{},
+		lastOrder:    map[Group]orderedCount{},
 		deniedAt:     map[string]time.Time{},
 		surplusSince: map[hosting.ServerClass]time.Time{},
 	}
@@ -93,7 +91,7 @@
 
 // OrderRefused records that an order certainly had no effect.
 func (p *Servers) OrderRefused(now time.Time, o ServerOrder) {
-	delete(p.lastOrder, serverGroup{o.FailureDomain, o.Class})
+	delete(p.lastOrder, Group{o.FailureDomain, o.Class})
 	if o.Class == hosting.ClassCheap {
 		p.deniedAt[o.FailureDomain] = now
 	}
@@ -102,24 +100,47 @@
 // OrderOutcomeUnknown records that the outcome of an order is unknown, so that
 // the order is sent again.
 func (p *Servers) OrderOutcomeUnknown(o ServerOrder) {
-	delete(p.lastOrder, serverGroup{o.FailureDomain, o.Class})
+	delete(p.lastOrder, Group{o.FailureDomain, o.Class})
+}
+
+// Wanted is the number of servers that a step aims for.
+type Wanted struct {
+	Counts
+	// Floor replaces ServerConfig.Floor.
+	Floor int
+	// Work is the outstanding work of each group of servers. A group with less work
+	// per server is reduced first, because fewer requests and cached prompts move. It
+	// may be nil.
+	Work map[Group]float64
+}
+
+// Group identifies the servers of one class in one failure domain.
+type Group struct {
+	FailureDomain string
+	Class         hosting.ServerClass
 }
 
-// Step returns the orders to send now.
+// Step returns the orders to send now for the configured counts.
 func (p *Servers) Step(now time.Time, engines []Engine) []ServerOrder {
-	have := map[serverGroup]int{}
+	return p.StepTo(now, engines, Wanted{Counts: Counts{OnDemand: p.cfg.OnDemand, Cheap: p.cfg.Cheap}, Floor: p.cfg.Floor})
+}
+
+// StepTo returns the orders to send now for the given counts.
+func (p *Servers) StepTo(now time.Time, engines []Engine, want Wanted) []ServerOrder {
+	have := map[Group]int{}
 	for i := range engines {
 		e := &engines[i]
 		switch {
 		case !e.Leaving:
-			have[serverGroup{e.FailureDomain, classOf(e)}]++
+			have[Group{e.FailureDomain, classOf(e)}]++
 		case e.Cheap && e.Evicted:
 			p.deniedAt[e.FailureDomain] = now
 		}
 	}
 	expected := p.expectedCounts(now, have)
-	cheap := p.planClass(now, expected, hosting.ClassCheap, p.cfg.Cheap)
-	p.planClass(now, expected, hosting.ClassOnDemand, max(p.cfg.OnDemand, p.cfg.Floor-cheap))
+	p.work, p.have = want.Work, have
+	cheap := p.planClass(now, expected, hosting.ClassCheap, want.Cheap)
+	p.planClass(now, expected, hosting.ClassOnDemand, max(want.OnDemand, want.Floor-cheap))
 	p.enforceMin()
 	return p.newOrders(now, have)
 }
@@ -132,7 +153,7 @@
 }
 
 // expectedCounts returns the servers that are running or expected to start.
-func (p *Servers) expectedCounts(now time.Time, have map[serverGroup]int) map[serverGroup]int {
+func (p *Servers) expectedCounts(now time.Time, have map[Group]int) map[Group]int {
 	out := maps.Clone(have)
 	for group, o := range p.lastOrder {
 		coming := now.Sub(o.at) < p.cfg.Boot && !p.backingOff(now, group)
@@ -145,20 +166,20 @@
 
 // backingOff reports whether the group gets no further servers for now, which
 // happens to cheap servers only.
-func (p *Servers) backingOff(now time.Time, group serverGroup) bool {
-	denied, ok := p.deniedAt[group.domain]
-	return ok && group.class == hosting.ClassCheap && now.Sub(denied) < p.cfg.CheapBackoff
+func (p *Servers) backingOff(now time.Time, group Group) bool {
+	denied, ok := p.deniedAt[group.FailureDomain]
+	return ok && group.Class == hosting.ClassCheap && now.Sub(denied) < p.cfg.CheapBackoff
 }
 
 // planClass sets the targets of a class so that they add up to count, if
 // possible, and returns their sum. Existing servers stay in their failure domain,
 // missing ones are added where the class has the fewest, and surplus ones are
 // removed after HoldDown, or immediately before the first order.
-func (p *Servers) planClass(now time.Time, expected map[serverGroup]int, class hosting.ServerClass, count int) int {
+func (p *Servers) planClass(now time.Time, expected map[Group]int, class hosting.ServerClass, count int) int {
 	total := 0
 	for _, d := range p.domains {
-		p.target[serverGroup{d, class}] = expected[serverGroup{d, class}]
-		total += expected[serverGroup{d, class}]
+		p.target[Group{d, class}] = expected[Group{d, class}]
+		total += expected[Group{d, class}]
 	}
 	for ; total < count; total++ {
 		group, ok := p.smallestGroup(now, class)
@@ -183,12 +204,12 @@
 
 // smallestGroup returns the group of a class with the fewest servers that may get
 // another one. Among equals it returns the one with the lowest price.
-func (p *Servers) smallestGroup(now time.Time, class hosting.ServerClass) (serverGroup, bool) {
-	var best serverGroup
+func (p *Servers) smallestGroup(now time.Time, class hosting.ServerClass) (Group, bool) {
+	var best Group
 	found := false
 	for _, d := range p.domains {
-		group := serverGroup{d, class}
-		both := p.target[serverGroup{d, hosting.ClassOnDemand}] + p.target[serverGroup{d, hosting.ClassCheap}]
+		group := Group{d, class}
+		both := p.target[Group{d, hosting.ClassOnDemand}] + p.target[Group{d, hosting.ClassCheap}]
 		if both >= p.cfg.Max || p.backingOff(now, group) {
 			continue
 		}
@@ -200,23 +221,33 @@
 }
 
 // largestGroup returns the group of a class with the most servers. Among equals
-// it returns the one with the highest price.
-func (p *Servers) largestGroup(class hosting.ServerClass) serverGroup {
-	best := serverGroup{p.domains[0], class}
+// it returns the one with the least work per server, or without known work the one
+// with the highest price.
+func (p *Servers) largestGroup(class hosting.ServerClass) Group {
+	best := Group{p.domains[0], class}
 	for _, d := range p.domains {
-		if group := (serverGroup{d, class}); p.target[group] >= p.target[best] {
+		group := Group{d, class}
+		switch {
+		case p.target[group] < p.target[best]:
+		case p.target[group] > p.target[best] || p.workPerServer(group) <= p.workPerServer(best):
 			best = group
 		}
 	}
 	return best
 }
 
+// workPerServer returns the outstanding work of a group per server, 0 if the work
+// is not known.
+func (p *Servers) workPerServer(group Group) float64 {
+	return p.work[group] / float64(max(p.have[group], 1))
+}
+
 // enforceMin adds on-demand servers to failure domains with fewer than Min
 // servers.
 func (p *Servers) enforceMin() {
 	for _, d := range p.domains {
-		onDemand := serverGroup{d, hosting.ClassOnDemand}
-		if missing := p.cfg.Min - p.target[onDemand] - p.target[serverGroup{d, hosting.ClassCheap}]; missing > 0 {
+		onDemand := Group{d, hosting.ClassOnDemand}
+		if missing := p.cfg.Min - p.target[onDemand] - p.target[Group{d, hosting.ClassCheap}]; missing > 0 {
 			p.target[onDemand] += missing
 		}
 	}
@@ -224,7 +255,7 @@
 
 // newOrders returns the orders to send: the first order of each group, changed
 // targets, and orders whose servers have not started within Boot.
-func (p *Servers) newOrders(now time.Time, have map[serverGroup]int) []ServerOrder {
+func (p *Servers) newOrders(now time.Time, have map[Group]int) []ServerOrder {
 	var out []ServerOrder
 	for _, group := range slices.SortedFunc(maps.Keys(p.target), compareGroups) {
 		target := p.target[group]
@@ -239,14 +270,14 @@
 			continue
 		}
 		p.lastOrder[group] = orderedCount{count: target, at: now}
-		out = append(out, ServerOrder{FailureDomain: group.domain, Class: group.class, Count: target})
+		out = append(out, ServerOrder{FailureDomain: group.FailureDomain, Class: group.Class, Count: target})
 	}
 	return out
 }
 
-func compareGroups(a, b serverGroup) int {
-	if c := cmp.Compare(a.domain, b.domain); c != 0 {
+func compareGroups(a, b Group) int {
+	if c := cmp.Compare(a.FailureDomain, b.FailureDomain); c != 0 {
 		return c
 	}
-	return cmp.Compare(a.class, b.class)
+	return cmp.Compare(a.Class, b.Class)
 }
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -26,6 +26,7 @@
 	cfg    pool.Config
 	pools  map[string]*pool.Pool
 	meters map[string]*demandMeter
+	loads  map[string]*loadMeter
 	// reply sends a message to an entry daemon without blocking.
 	reply func(vm string, m peer.Message)
 }
@@ -33,7 +34,7 @@
 // NewHost returns a host without pools. reply sends a message to an entry daemon
 // and must not block.
 func NewHost(cfg pool.Config, reply func(string, peer.Message)) *Host {
-	return &Host{cfg: cfg, pools: map[string]*pool.Pool{}, meters: map[string]*demandMeter{}, reply: reply}
+	return &Host{cfg: cfg, pools: map[string]*pool.Pool{}, meters: map[string]*demandMeter{}, loads: map[string]*loadMeter{}, reply: reply}
 }
 
 // Update creates, updates and removes hosted pools so that they match those specs
@@ -54,6 +55,7 @@
 			}
 			h.pools[name] = pool.New(cfg, pool.Ticket(now.UnixNano()))
 			h.meters[name] = &demandMeter{model: spec.Key.Model, since: now}
+			h.loads[name] = &loadMeter{since: now}
 		}
 		if !known || !spec.Unchanged {
 			h.Step(now, name, pool.RunnersListed{Runners: spec.Runners})
@@ -63,6 +65,7 @@
 		if !keep[name] {
 			delete(h.pools, name)
 			delete(h.meters, name)
+			delete(h.loads, name)
 		}
 	}
 }
@@ -86,6 +89,9 @@
 	case pool.Granted:
 		h.reply(a.Entry, &GrantReply{Pool: name, Request: a.Request, Kind: ReplyGranted, Granted: a})
 	case pool.Refused:
+		if a.Reason != pool.ReasonImpossible {
+			h.loads[name].refused++
+		}
 		h.reply(a.Entry, &GrantReply{Pool: name, Request: a.Request, Kind: ReplyRefused, Refused: a})
 	case pool.Vacate:
 		h.reply(a.Entry, &Vacate{Pool: name, Request: a.Request, Ticket: a.Ticket, Runner: a.Runner})
@@ -105,6 +111,7 @@
 	}
 	meter := h.meters[m.Pool]
 	meter.arrived(&m.Request)
+	h.loads[m.Pool].arrived(&m.Request)
 	answered := false
 	for _, action := range p.Step(now, pool.GrantRequested{Request: m.Request}) {
 		answered = answered || isAnswerTo(action, &m.Request)
