--- a/edge/fleet_demand.go
+++ b/edge/fleet_demand.go
@@ -137,7 +137,7 @@
 	return provision.NeedConfig{
 		Max: sc.Max * len(sc.DomainPrices), Domains: len(sc.DomainPrices),
 		OnDemandPrice: price, CheapPrice: price * sc.CheapPrice,
-		LateCost:            f.settings.LateCost,
+		LostCost:            f.settings.LostCost,
 		Objective:           shortestObjective(f.control.catalog.Load(), s.Name),
 		Roles:               f.roleConfig(s.Engine),
 		DecodePrefillFactor: decodePrefillFactor,
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -113,9 +113,9 @@
 	// cheap, "demand" follows the load. All daemons need equal values. Unit: text.
 	// Default: ratio.
 	Plan string `json:"plan"`
-	// LateCost is what a late or refused request costs in the plan "demand". Unit:
-	// seconds of a server of price 1. Default: 1.
-	LateCost float64 `json:"late_cost"`
+	// LostCost is what a refused request costs in the plan "demand"; a late one costs
+	// half of it. Unit: seconds of a server of price 1. Default: 2.
+	LostCost float64 `json:"lost_cost"`
 	// OnDemand is the number of engines on on-demand servers, which can't be
 	// evicted. If this and cheap are 0, no servers are ordered. Unit: ratio.
 	// Default: 0.22.
@@ -140,7 +140,7 @@
 		Quarantine: QuarantineSettings{Crashes: 4, RequestCrashes: 3, For: 10 * time.Minute},
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
-		Fleet:      FleetSettings{Plan: planRatio, LateCost: 1, OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
+		Fleet:      FleetSettings{Plan: planRatio, LostCost: 2, OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
 		LogLevel:   "info",
 	}
 }
@@ -217,8 +217,8 @@
 	if s.Fleet.Plan != planRatio && s.Fleet.Plan != planDemand {
 		d.Report("fleet.plan", "must be ratio or demand")
 	}
-	if !(s.Fleet.LateCost > 0) {
-		d.Report("fleet.late_cost", "must be positive")
+	if !(s.Fleet.LostCost > 0) {
+		d.Report("fleet.lost_cost", "must be positive")
 	}
 	if s.MemoryMB < 0 {
 		d.Report("memory_mb", "must not be negative")
--- a/provision/need.go
+++ b/provision/need.go
@@ -16,9 +16,9 @@
 	Domains int
 	// OnDemandPrice and CheapPrice are the prices of a server.
 	OnDemandPrice, CheapPrice float64
-	// LateCost is the cost of a late or refused request, in seconds of a server of
-	// price 1.
-	LateCost float64
+	// LostCost is the cost of a refused request, in seconds of a server of price 1. A
+	// late one costs half of it.
+	LostCost float64
 	// Objective is the shortest latency objective of the requests.
 	Objective time.Duration
 	// Roles decides how many engines of a pool decode. Decode engines do prefill
@@ -45,6 +45,9 @@
 	// which a few long prompts look like a change.
 	smoothingTime = 1500 * time.Millisecond
 	trendTime     = 6 * time.Second
+	// trendWeight is the weight of the extrapolated load relative to the loads of a
+	// period. It is low because a swing returns while a server boots.
+	trendWeight = 0.1
 	// drainTime is the time within which waiting work is to be served.
 	drainTime = 2 * time.Second
 	// releaseShare is the share of the servers that are released in one step, so that
@@ -187,13 +190,13 @@
 		out.Wanted, out.Holding = Wanted{Counts: d.wanted}, true
 		return out
 	}
-	best := d.choose(now, pools, have, &out)
+	best, enough := d.choose(now, pools, have, &out)
 	seen := now.Sub(d.complete)
 	out.Holding = !reported || seen < d.cfg.Hold
 	if out.Holding {
 		d.wanted = d.hold(have, best, reported && seen >= d.cfg.Hold-d.cfg.Lead)
 	} else {
-		d.wanted = d.approach(have, best)
+		d.wanted = d.approach(have, best, enough)
 	}
 	out.Wanted = Wanted{Counts: d.wanted, Floor: min(out.AfterLoss, best.total()), Work: d.work(pools)}
 	return out
@@ -266,8 +269,7 @@
 }
 
 // loads returns the loads of each pool that are expected during the next period:
-// those of the last one, and the extrapolated present one for the share of the
-// period that the lead time takes.
+// those of the last one, and last the extrapolated present one.
 func (d *Need) loads(pools []string) [][]poolLoad {
 	out := make([][]poolLoad, 0, len(pools))
 	for _, name := range pools {
@@ -280,14 +282,15 @@
 			loads = append(loads, p.samples[i].poolLoad)
 		}
 		next := p.load(p.prefill.Predict(d.cfg.Lead), p.decode.Predict(d.cfg.Lead))
-		next.weight = float64(len(loads)) * d.cfg.Lead.Seconds() / d.cfg.Period.Seconds()
+		next.weight = float64(len(loads)) * trendWeight
 		out = append(out, append(loads, next))
 	}
 	return out
 }
 
-// choose returns the counts with the lowest cost.
-func (d *Need) choose(now time.Time, pools []string, have Counts, out *Decision) Counts {
+// choose returns the counts with the lowest cost, and the number of on-demand
+// servers that is enough without cheap ones.
+func (d *Need) choose(now time.Time, pools []string, have Counts, out *Decision) (best Counts, enough int) {
 	loads := d.loads(pools)
 	out.Mean, out.Peak = d.summarize(loads, len(pools))
 	low := min(minPoolEngines*len(pools), d.cfg.Max)
@@ -302,8 +305,9 @@
 		startup:   d.cfg.Lead.Seconds() / d.cfg.Period.Seconds(),
 		groupLost: (1 - allReclaimed) * missing, allLost: allReclaimed * missing,
 		low: low, high: high, afterLoss: out.AfterLoss,
+		afterAll: int(math.Ceil(onDemandShare * out.Mean)),
 	}
-	return o.cheapest(&curve, d.cfg.LateCost)
+	return o.cheapest(&curve, d.cfg.LostCost), o.onDemandOnly(&curve, d.cfg.LostCost)
 }
 
 // outageShare returns the share of time for which a group of cheap servers is
@@ -314,13 +318,13 @@
 }
 
 // summarize returns the number of engines that are busy on average and in the
-// sample with the highest load. Pools share the engines evenly, so the one with
+// sample with the highest load, without the extrapolated loads. Pools share the engines evenly, so the one with
 // the highest load counts for all.
 func (d *Need) summarize(loads [][]poolLoad, pools int) (mean, peak float64) {
 	perEngine := placementEfficiency * (1 - d.cfg.Roles.DecodeShare*(1-1/d.cfg.DecodePrefillFactor))
 	for _, samples := range loads {
 		sum, weight, most := 0.0, 0.0, 0.0
-		for i := range samples {
+		for i := range samples[:len(samples)-1] {
 			l := &samples[i]
 			engines := max(
 				(l.prefill+l.decode/d.cfg.DecodePrefillFactor)/perEngine,
@@ -329,7 +333,7 @@
 			)
 			sum, weight, most = sum+engines*l.weight, weight+l.weight, max(most, engines)
 		}
-		mean, peak = max(mean, sum/weight), max(peak, most)
+		mean, peak = max(mean, sum/max(weight, 1)), max(peak, most)
 	}
 	return mean * float64(pools), peak * float64(pools)
 }
@@ -348,9 +352,9 @@
 
 // approach returns the counts to aim for on the way to best. Releases are gradual.
 // On-demand servers stay until the cheap servers that replace them are listed.
-func (d *Need) approach(have, best Counts) Counts {
+func (d *Need) approach(have, best Counts, enough int) Counts {
 	step := max(int(math.Ceil(releaseShare*float64(have.total()))), 1)
-	stay := min(have.OnDemand, best.total()-have.Cheap)
+	stay := min(have.OnDemand, min(enough, best.total())-have.Cheap)
 	return Counts{
 		OnDemand: max(best.OnDemand, stay, min(d.wanted.OnDemand, have.OnDemand)-step),
 		Cheap:    max(best.Cheap, d.wanted.Cheap-step),
--- a/provision/staffing.go
+++ b/provision/staffing.go
@@ -12,7 +12,14 @@
 	waitShare = 0.25
 	// meanUtilization is the utilization at which the mean load must be served after
 	// the loss of the largest group of cheap servers.
-	meanUtilization = 0.85
+	meanUtilization = 0.9
+	// lateValue is the share of its value that a late answer keeps. Late answers are
+	// worth 0.2 to 0.75 of timely ones.
+	lateValue = 0.5
+	// onDemandShare is the share of the mean load for which on-demand servers remain
+	// if the cheap servers of all failure domains are reclaimed at once. Roles gives
+	// them the decode role first, so that few streams break.
+	onDemandShare = 0.25
 	// maxMemoryFill is the share of the engines' KV memory that may be reserved.
 	maxMemoryFill = 0.8
 	// minPoolEngines is the least number of engines of a pool: one for prefill and
@@ -33,46 +40,46 @@
 	weight float64
 }
 
-// lateShare returns the expected share of the requests that wait for longer than
-// slack, in seconds, on n engines. Above capacity it rises beyond 1, so that each
-// further engine still counts.
+// lostShare returns the share of the requests' value that is lost on n engines
+// because requests wait for longer than slack, in seconds, or are refused.
 //
 // The wait is that of a queue with several servers: Sakasegawa's approximation,
 // with an exponential distribution for the requests that wait. It replaces a
 // fixed utilization because a small pool needs more reserve than a large one, and
 // a mix with long prompts more than one without.
-func (l *poolLoad) lateShare(n, slack float64, cfg *NeedConfig) float64 {
+func (l *poolLoad) lostShare(n, slack float64, cfg *NeedConfig) float64 {
 	decode := min(max(cfg.Roles.DecodeShare*n, float64(cfg.Roles.MinDecode)), max(n-1, n/2))
 	decodeServers := placementEfficiency * decode
 	idleDecode := max(decode-l.decode/placementEfficiency, 0)
 	prefillServers := placementEfficiency * (n - decode + idleDecode/cfg.DecodePrefillFactor)
-	late := max(
-		waitTail(l.prefill, prefillServers, l.requests, l.spread, slack),
-		waitTail(l.decode, decodeServers, l.requests, 1, slack),
+	lost := max(
+		waitLoss(l.prefill, prefillServers, l.requests, l.spread, slack),
+		waitLoss(l.decode, decodeServers, l.requests, 1, slack),
 	)
 	if full := l.memory / (maxMemoryFill * n); full > 1 {
-		late = max(late, 2-1/full)
+		lost = max(lost, 1-lateValue/full)
 	}
-	return late
+	return lost
 }
 
-// waitTail returns the probability that a request waits for longer than slack if
-// requests arrive at the given rate and keep load of the servers busy.
-func waitTail(load, servers, requests, spread, slack float64) float64 {
+// waitLoss returns the share of value that is lost if requests arrive at the given
+// rate and keep load of the servers busy. Above capacity, the part that the servers
+// can do is late and the rest is refused.
+func waitLoss(load, servers, requests, spread, slack float64) float64 {
 	if load <= 0 || requests <= 0 {
 		return 0
 	}
 	utilization := load / max(servers, 1e-6)
 	if utilization >= 1 {
-		return 2 - 1/utilization
+		return 1 - lateValue/utilization
 	}
 	waits := math.Pow(utilization, math.Sqrt(2*(servers+1))-1)
 	meanWait := (1 + spread) / 2 * (load / requests) / (servers * (1 - utilization))
-	return min(waits, 1) * math.Exp(-slack/meanWait)
+	return (1 - lateValue) * min(waits, 1) * math.Exp(-slack/meanWait)
 }
 
-// lossCurve is the number of late or refused requests per second by the number
-// of engines, tabulated because it is evaluated for many combinations of classes.
+// lossCurve is the number of requests per second whose value is lost, by the number
+// of engines. It is tabulated because it is evaluated for many combinations of classes.
 type lossCurve struct {
 	low, step float64
 	values    []float64
@@ -96,11 +103,11 @@
 	return c
 }
 
-// poolLoss returns the late requests per second of one pool with n engines.
+// poolLoss returns the lost requests per second of one pool with n engines.
 func poolLoss(loads []poolLoad, n, slack float64, cfg *NeedConfig) float64 {
 	sum, weight := 0.0, 0.0
 	for i := range loads {
-		sum += loads[i].weight * loads[i].requests * loads[i].lateShare(n, slack, cfg)
+		sum += loads[i].weight * loads[i].requests * loads[i].lostShare(n, slack, cfg)
 		weight += loads[i].weight
 	}
 	if weight == 0 {
@@ -139,23 +146,23 @@
 	// groupLost and allLost are the shares of time for which the largest group of
 	// cheap servers, or all of them, are expected to be missing.
 	groupLost, allLost float64
-	// low and high bound the number of servers; afterLoss is the number that must
-	// remain after the loss of the largest group of cheap servers.
-	low, high, afterLoss int
+	// low and high bound the number of servers. afterLoss servers must remain after
+	// the loss of the largest group of cheap servers, afterAll after the loss of all.
+	low, high, afterLoss, afterAll int
 }
 
 // largestGroup returns the size of the largest group of cheap servers.
 func (o *offer) largestGroup(cheap int) int { return (cheap + o.domains - 1) / max(o.domains, 1) }
 
-// cost returns the cost per second of servers and of the requests that are late
+// cost returns the cost per second of servers and of the requests that are lost
 // with them.
-func (o *offer) cost(n Counts, loss *lossCurve, lateCost float64) float64 {
+func (o *offer) cost(n Counts, loss *lossCurve, lostCost float64) float64 {
 	servers := o.onDemand*(float64(n.OnDemand)+o.startup*float64(max(n.OnDemand-o.have.OnDemand, 0))) +
 		o.cheap*(float64(n.Cheap)+o.startup*float64(max(n.Cheap-o.have.Cheap, 0)))
-	late := (1-o.groupLost-o.allLost)*loss.at(float64(n.total())) +
+	lost := (1-o.groupLost-o.allLost)*loss.at(float64(n.total())) +
 		o.groupLost*loss.at(float64(n.total()-o.largestGroup(n.Cheap))) +
 		o.allLost*loss.at(float64(n.OnDemand))
-	return servers + lateCost*late
+	return servers + lostCost*lost
 }
 
 // choiceSteps bounds the counts of one class that are compared.
@@ -163,19 +170,32 @@
 
 // cheapest returns the counts with the lowest cost. If no counts meet the bounds,
 // it returns as many servers as possible.
-func (o *offer) cheapest(loss *lossCurve, lateCost float64) Counts {
+func (o *offer) cheapest(loss *lossCurve, lostCost float64) Counts {
 	best, bestCost := Counts{OnDemand: o.high}, math.Inf(1)
 	step := o.high/choiceSteps + 1
-	for onDemand := 0; onDemand <= o.high; onDemand += step {
+	for onDemand := o.afterAll; onDemand <= o.high; onDemand += step {
 		for total := max(o.low, onDemand); total <= o.high; total += step {
 			n := Counts{OnDemand: onDemand, Cheap: total - onDemand}
 			if total-o.largestGroup(n.Cheap) < o.afterLoss {
 				continue
 			}
-			if cost := o.cost(n, loss, lateCost); cost < bestCost {
+			if cost := o.cost(n, loss, lostCost); cost < bestCost {
 				best, bestCost = n, cost
 			}
 		}
 	}
 	return best
 }
+
+// onDemandOnly returns the number of on-demand servers that is kept while there
+// are no cheap servers. It is lower than the total of both classes, because the
+// reserve for reclaims is not needed.
+func (o *offer) onDemandOnly(loss *lossCurve, lostCost float64) int {
+	best, bestCost := o.high, math.Inf(1)
+	for n := o.low; n <= o.high; n++ {
+		if cost := o.onDemand*float64(n) + lostCost*loss.at(float64(n)); cost < bestCost {
+			best, bestCost = n, cost
+		}
+	}
+	return best
+}
