--- a/provision/need_test.go
+++ b/provision/need_test.go
@@ -485,3 +485,20 @@
 		step()
 	}
 }
+
+// Guards against many servers that are released at once, whose cached prompts and
+// streams all move to the others in the same second.
+func TestReleasesAreGradual(t *testing.T) {
+	g := NewWithT(t)
+	need, engines, now := simulatedNeed(11 * time.Second)
+	before := need.wanted
+	for range 20 {
+		reportAll(need, now)
+		d := need.Step(now, simPoolNames(), engines)
+		g.Expect(before.OnDemand - d.OnDemand).To(BeNumerically("<=", 3))
+		g.Expect(before.Cheap - d.Cheap).To(BeNumerically("<=", 3))
+		before, now = d.Counts, now.Add(500*time.Millisecond)
+		engines = engines[:min(len(engines), d.Counts.total())]
+	}
+	g.Expect(before.OnDemand).To(BeNumerically("<", 50))
+}
