provision: releases wait while a pool is short of a role

Releasing on-demand servers in favor of cheap ones takes the engines that decode, and engines serve only requests of their role. A pool without either role serves nothing until a change, which takes about 4 s. Releases now pause until half of the wanted engines of each role are in service, for at most 6 s.

go test ./provision passes; not measured against real engines.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -118,9 +118,11 @@
 	last provision.Decision
 	// unanswered is the number of server orders without an answer.
 	unanswered int
-	servers    *provision.Servers
-	roles      map[string]*provision.Roles
-	assigner   pool.Assigner
+	// settled is set if no pool was short of a role at the last decision.
+	settled  bool
+	servers  *provision.Servers
+	roles    map[string]*provision.Roles
+	assigner pool.Assigner
 }
 
 func (f *fleetControl) gained(_ time.Time, _ int64, records []hosting.KeyedRecord) {
@@ -201,6 +203,7 @@
 		ids = append(ids, e.ID)
 	}
 	var changing []ChangingEngine
+	plan.settled = true
 	for i, shard := range plan.assigner.AssignEven(ids, shardCount(s)) {
 		name := pool.Key{Model: s.Name, Shard: i}.String()
 		roles := plan.roles[name]
@@ -215,6 +218,7 @@
 		for _, o := range roles.Step(now, members) {
 			f.orderRole(term, s.Name, name, o)
 		}
+		plan.settled = plan.settled && roles.Settled(now, members)
 		for _, o := range roles.Changing(now, members) {
 			changing = append(changing, ChangingEngine(o))
 		}
--- a/edge/fleet_demand.go
+++ b/edge/fleet_demand.go
@@ -177,7 +177,7 @@
 	for _, route := range f.control.view.Load().pools[s.Name] {
 		pools = append(pools, route.name)
 	}
-	d := plan.need.Step(now, pools, engines)
+	d := plan.need.Step(now, pools, engines, plan.settled)
 	if d.Holding {
 		demandHolding.Inc()
 	}
--- a/provision/need.go
+++ b/provision/need.go
@@ -56,6 +56,10 @@
 	// releaseShare is the share of the servers that are released in one step, so that
 	// the remaining ones fill their caches and take over roles meanwhile.
 	releaseShare = 0.05
+	// maxUnsettled is the time after which servers are released although a pool is
+	// short of a role: a change of roles takes about 4 s, and engines that refuse it
+	// must not keep all servers.
+	maxUnsettled = 6 * time.Second
 	// reclaimPrior is the time in which one reclaim of a failure domain is expected
 	// until reclaims have been observed, allReclaimed the share of reclaims that
 	// affect all failure domains.
@@ -95,6 +99,8 @@
 	// last one by failure domain.
 	reclaims  int
 	reclaimed map[string]time.Time
+	// released is the time of the last step that released servers.
+	released time.Time
 }
 
 // poolNeed is what is known about the load of one pool.
@@ -172,8 +178,9 @@
 }
 
 // Step returns the wanted servers. pools are the names of the service's pools and
-// engines its listed engines.
-func (d *Need) Step(now time.Time, pools []string, engines []Engine) Decision {
+// engines its listed engines. settled is false while a pool is short of engines of
+// a role; see Roles.Settled.
+func (d *Need) Step(now time.Time, pools []string, engines []Engine, settled bool) Decision {
 	if d.started.IsZero() {
 		d.started = now
 	}
@@ -199,7 +206,7 @@
 	if out.Holding {
 		d.wanted = d.hold(have, best, reported && seen >= d.cfg.Hold-d.cfg.Lead)
 	} else {
-		d.wanted = d.approach(have, best, enough)
+		d.wanted = d.approach(now, have, best, enough, settled)
 	}
 	out.Wanted = Wanted{Counts: d.wanted, Floor: min(out.AfterLoss, best.total()), Work: d.work(pools)}
 	return out
@@ -357,13 +364,20 @@
 
 // approach returns the counts to aim for on the way to best. Releases are gradual.
 // On-demand servers stay until the cheap servers that replace them are listed.
-func (d *Need) approach(have, best Counts, enough int) Counts {
+func (d *Need) approach(now time.Time, have, best Counts, enough int, settled bool) Counts {
 	step := max(int(math.Ceil(releaseShare*float64(have.total()))), 1)
+	if !settled && now.Sub(d.released) < maxUnsettled {
+		step = 0
+	}
 	stay := min(have.OnDemand, min(enough, best.total())-have.Cheap)
-	return Counts{
+	next := Counts{
 		OnDemand: max(best.OnDemand, stay, min(d.wanted.OnDemand, have.OnDemand)-step),
 		Cheap:    max(best.Cheap, d.wanted.Cheap-step),
 	}
+	if next.OnDemand < d.wanted.OnDemand || next.Cheap < d.wanted.Cheap {
+		d.released = now
+	}
+	return next
 }
 
 // work returns the outstanding work of each group of servers, or nil if a pool has
--- a/provision/need_test.go
+++ b/provision/need_test.go
@@ -184,7 +184,7 @@
 	var orders []ServerOrder
 	if s.need == nil {
 		orders = s.plan.Step(now, listed)
-	} else if d := s.need.Step(now, simPoolNames(), listed); d.Act {
+	} else if d := s.need.Step(now, simPoolNames(), listed, true); d.Act {
 		orders = s.plan.StepTo(now, listed, d.Wanted)
 	}
 	for _, o := range orders {
@@ -337,7 +337,7 @@
 	now := start
 	for ; now.Before(start.Add(seen)); now = now.Add(500 * time.Millisecond) {
 		reportAll(need, now)
-		need.Step(now, simPoolNames(), engines)
+		need.Step(now, simPoolNames(), engines, true)
 	}
 	return need, engines, now
 }
@@ -357,12 +357,12 @@
 		if at > 2*time.Second {
 			reportAll(need, start.Add(at))
 		}
-		d := need.Step(start.Add(at), simPoolNames(), engines)
+		d := need.Step(start.Add(at), simPoolNames(), engines, true)
 		g.Expect(d.Act).To(Equal(at >= 6*time.Second), at.String())
 		g.Expect(d.OnDemand).To(BeNumerically(">=", 60), at.String())
 	}
 	need, engines, now := simulatedNeed(14 * time.Second)
-	g.Expect(need.Step(now, simPoolNames(), engines).Holding).To(BeFalse())
+	g.Expect(need.Step(now, simPoolNames(), engines, true).Holding).To(BeFalse())
 }
 
 // Guards against servers that are released while the load of some pool is not known.
@@ -374,7 +374,7 @@
 		now = now.Add(500 * time.Millisecond)
 		need.Report(now, "pool0", Report{PrefillRate: simRate})
 		need.Report(now, "other", Report{PrefillRate: simRate})
-		d := need.Step(now, simPoolNames(), engines)
+		d := need.Step(now, simPoolNames(), engines, true)
 		if now.Sub(need.pools["pool1"].at) <= simNeedConfig().ReportAge {
 			continue
 		}
@@ -430,7 +430,7 @@
 				}
 				need.Report(now, name, r)
 			}
-			d = need.Step(now, simPoolNames(), nil)
+			d = need.Step(now, simPoolNames(), nil, true)
 			if d.OnDemand < 0 || d.Cheap < 0 || d.Floor < 0 || d.Counts.total() > 2*cfg.Max {
 				t.Fatalf("%+v", d)
 			}
@@ -475,7 +475,7 @@
 		for _, name := range pools {
 			need.Report(now, name, Report{Requests: 100, Prefill: 500_000, PrefillRate: simRate, Spread: 2})
 		}
-		need.Step(now, pools, engines)
+		need.Step(now, pools, engines, true)
 	}
 	for range 40 {
 		step()
@@ -494,7 +494,7 @@
 	before := need.wanted
 	for range 20 {
 		reportAll(need, now)
-		d := need.Step(now, simPoolNames(), engines)
+		d := need.Step(now, simPoolNames(), engines, true)
 		g.Expect(before.OnDemand - d.OnDemand).To(BeNumerically("<=", 3))
 		g.Expect(before.Cheap - d.Cheap).To(BeNumerically("<=", 3))
 		before, now = d.Counts, now.Add(500*time.Millisecond)
@@ -502,3 +502,27 @@
 	}
 	g.Expect(before.OnDemand).To(BeNumerically("<", 50))
 }
+
+// Guards against releases that leave a pool without engines of a role, which can't
+// serve anything, and against engines that keep all servers by refusing a role.
+func TestReleasesWaitForRoles(t *testing.T) {
+	g := NewWithT(t)
+	roles := NewRoles(simNeedConfig().Roles)
+	members := append(engines(backend.RolePrefill, 8), engines(backend.RoleDecode, 2)...)
+	g.Expect(roles.Settled(start, members)).To(BeTrue())
+	members[9].Leaving = true
+	g.Expect(roles.Settled(start, members)).To(BeFalse())
+	g.Expect(roles.Step(start, members)).NotTo(BeEmpty())
+	g.Expect(roles.Settled(start, members)).To(BeFalse(), "the changes take some time")
+	g.Expect(roles.Settled(start, engines(backend.RoleMixed, 3))).To(BeTrue())
+
+	need, listed, now := simulatedNeed(13 * time.Second)
+	before, since := need.wanted, now
+	for ; now.Sub(since) < 5*time.Second; now = now.Add(500 * time.Millisecond) {
+		reportAll(need, now)
+		g.Expect(need.Step(now, simPoolNames(), listed, false).OnDemand).To(BeNumerically(">=", before.OnDemand))
+	}
+	now = now.Add(maxUnsettled)
+	reportAll(need, now)
+	g.Expect(need.Step(now, simPoolNames(), listed, false).OnDemand).To(BeNumerically("<", before.OnDemand))
+}
--- a/provision/roles.go
+++ b/provision/roles.go
@@ -143,6 +143,32 @@
 	return nil
 }
 
+// Settled reports whether at least half of the wanted engines of each role are in
+// service. Until then, no further engines should be released: those that leave may
+// be the last ones of a role, and a change of another one takes several seconds.
+func (p *Roles) Settled(now time.Time, engines []Engine) bool {
+	listed, decode, prefill := 0, 0, 0
+	for i := range engines {
+		if engines[i].Leaving {
+			continue
+		}
+		listed++
+		if _, ok := p.pending(now, &engines[i]); ok {
+			continue
+		}
+		switch engines[i].Role {
+		case backend.RoleDecode:
+			decode++
+		case backend.RolePrefill:
+			prefill++
+		default:
+			decode, prefill = decode+1, prefill+1
+		}
+	}
+	want := p.cfg.WantDecode(listed)
+	return 2*decode >= want && 2*prefill >= listed-want
+}
+
 // orderChanges orders the role for up to count of the engines.
 func (p *Roles) orderChanges(now time.Time, engines []Engine, role backend.Role, count int) []RoleOrder {
 	var out []RoleOrder
