--- a/edge/fleet_demand_test.go
+++ b/edge/fleet_demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/provision"
@@ -118,6 +120,33 @@
 	g.Expect(orders.total(hosting.ClassCheap)).To(BeNumerically(">", 0))
 }
 
+// Guards against releases from pools that have engines of one role only.
+func TestReleasesWaitForEngineRoles(t *testing.T) {
+	g := NewWithT(t)
+	c, orders := newDemandControl(t)
+	var list []hosting.KeyedRecord
+	for i := range 64 {
+		if i%plainShare == 0 {
+			continue
+		}
+		s := registry.Server{ID: fmt.Sprint("i-", i), StartedMs: 2, Service: "llm", FailureDomain: fmt.Sprint("fd-", i%scaleDomains), Role: backend.RoleDecode}
+		list = append(list, hosting.KeyedRecord{Key: s.ID, Value: encodeJSON(t, s)})
+	}
+	c.apply(feedServers, list...)
+	plan := c.fleet.services["llm"]
+	for plan.last.Holding || !plan.last.Act {
+		c.step()
+		c.answerOrders()
+		c.report(lightLoad, "")
+	}
+	for range 8 {
+		c.step()
+		c.answerOrders()
+		c.report(lightLoad, "")
+	}
+	g.Expect(orders.total(hosting.ClassOnDemand)).To(Equal(len(list)))
+}
+
 // Guards against reports that a daemon sends for pools that it doesn't schedule, or
 // that can't be right, and against a log line for each of them.
 func TestInvalidDemandReportsAreCounted(t *testing.T) {
--- a/provision/need.go
+++ b/provision/need.go
@@ -99,7 +99,8 @@
 	// last one by failure domain.
 	reclaims  int
 	reclaimed map[string]time.Time
-	// released is the time of the last step that released servers.
+	// released is the time of the last step that released servers or was not allowed
+	// to.
 	released time.Time
 }
 
@@ -205,6 +206,7 @@
 	out.Holding = !reported || seen < d.cfg.Hold
 	if out.Holding {
 		d.wanted = d.hold(have, best, reported && seen >= d.cfg.Hold-d.cfg.Lead)
+		d.released = now
 	} else {
 		d.wanted = d.approach(now, have, best, enough, settled)
 	}
