--- a/provision/need.go
+++ b/provision/need.go
@@ -111,6 +111,7 @@
 	prefillRate, decodeRate float64
 	prefill, decode         fleet.Forecast
 	requests, spread        fleet.Forecast
+	refused                 fleet.Forecast
 	samples                 []sample
 }
 
@@ -148,7 +149,7 @@
 	p := d.pools[pool]
 	if p == nil {
 		p = &poolNeed{}
-		for _, f := range []*fleet.Forecast{&p.prefill, &p.decode, &p.requests, &p.spread} {
+		for _, f := range []*fleet.Forecast{&p.prefill, &p.decode, &p.requests, &p.spread, &p.refused} {
 			*f = fleet.NewForecast(smoothingTime, trendTime)
 		}
 		d.pools[pool] = p
@@ -157,6 +158,7 @@
 	p.prefillRate = boundedRate(r.PrefillRate, p.prefillRate)
 	p.decodeRate = boundedRate(r.DecodeRate, p.decodeRate)
 	p.requests.Observe(now, r.Requests)
+	p.refused.Observe(now, r.Refused)
 	p.spread.Observe(now, min(r.Spread, maxSpread))
 	if p.prefillRate > 0 {
 		p.prefill.Observe(now, (r.Prefill+r.Waiting/drainTime.Seconds())/p.prefillRate)
@@ -275,7 +277,7 @@
 // underestimate.
 func (d *Need) saturated(p *poolNeed, engines, pools int) float64 {
 	slack := waitShare * d.cfg.Objective.Seconds()
-	if p.last.Wait <= slack && p.last.Refused <= refusedShare*p.last.Requests {
+	if p.last.Wait <= slack && p.refused.Average() <= refusedShare*p.requests.Average() {
 		return 0
 	}
 	n := float64(engines) / float64(pools)
