--- a/provision/need_test.go
+++ b/provision/need_test.go
@@ -62,7 +62,6 @@
 	// seconds are the server seconds by price of the day, later those after simKnown.
 	seconds, later float64
 	arrived        [simPools]struct{ requests, tokens float64 }
-	lowest, most   int
 }
 
 var simPrices = map[string]float64{"a": 0.8, "b": 1, "c": 1.25}
@@ -70,9 +69,9 @@
 func newSimulation(byDemand bool) *simulation {
 	s := &simulation{
 		rateError: 1,
-		random:    rand.New(rand.NewPCG(1, 2)), lowest: math.MaxInt,
-		requests: func(time.Duration) (float64, float64) { return 175, 5000 },
-		noCheap:  func(time.Duration, string) bool { return false },
+		random:    rand.New(rand.NewPCG(1, 2)),
+		requests:  swing,
+		noCheap:   func(time.Duration, string) bool { return false },
 	}
 	cfg := ServerConfig{
 		OnDemand: 13, Cheap: 108, Floor: 78, Min: 1, Max: 60, Prices: simPrices,
@@ -180,7 +179,6 @@
 
 func (s *simulation) step(now time.Time) {
 	listed := s.listedEngines(now)
-	s.lowest, s.most = min(s.lowest, len(listed)), max(s.most, len(listed))
 	var orders []ServerOrder
 	if s.need == nil {
 		orders = s.plan.Step(now, listed)
@@ -274,37 +272,34 @@
 // Guards against a plan that saves servers at the cost of late answers, or that
 // saves none.
 func TestPlanByDemandCostsLessThanTheRatio(t *testing.T) {
+	from, to := 30*time.Second, 33*time.Second
 	cases := map[string]func(*simulation){
-		"steady": func(*simulation) {},
-		"swing":  func(s *simulation) { s.requests = swing },
+		"steady": func(s *simulation) { s.requests = func(time.Duration) (float64, float64) { return 175, 5000 } },
+		"swing":  func(*simulation) {},
 		"mix shift": func(s *simulation) {
 			s.requests = func(at time.Duration) (float64, float64) {
-				rate, _ := swing(at)
-				shifted := min(max((at-30*time.Second).Seconds()/3, 0), 1)
-				return rate, 5000 * (1 + 0.6*shifted)
+				rate, tokens := swing(at)
+				return rate, tokens * (1 + 0.6*min(max((at-from).Seconds()/3, 0), 1))
 			}
 		},
 		"burst": func(s *simulation) {
 			s.requests = func(at time.Duration) (float64, float64) {
 				rate, tokens := swing(at)
-				if at > 30*time.Second && at < 33*time.Second {
+				if at > from && at < to {
 					rate *= 1.7
 				}
 				return rate, tokens
 			}
 		},
 		"reclaim": func(s *simulation) {
-			s.requests, s.reclaimAt = swing, 30*time.Second
-			s.noCheap = func(at time.Duration, domain string) bool {
-				return domain == "a" && at >= s.reclaimAt && at < s.reclaimAt+8*time.Second
-			}
+			s.reclaimAt = from
+			s.noCheap = func(at time.Duration, d string) bool { return d == "a" && at >= from && at < from+8*time.Second }
 		},
 		"no cheap servers": func(s *simulation) {
-			s.requests = swing
 			s.noCheap = func(at time.Duration, _ string) bool { return at < 40*time.Second }
 		},
-		"overestimated engines": func(s *simulation) { s.requests, s.rateError = swing, 1.4 },
-		"lost answers":          func(s *simulation) { s.requests, s.lostAnswers = swing, 0.3 },
+		"overestimated engines": func(s *simulation) { s.rateError = 1.4 },
+		"lost answers":          func(s *simulation) { s.lostAnswers = 0.3 },
 	}
 	for name, prepare := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -314,9 +309,8 @@
 			prepare(demand)
 			ratio.run()
 			demand.run()
-			t.Logf("late: ratio %.4f demand %.4f; price: ratio %.0f demand %.0f, later ratio %.0f demand %.0f; engines: ratio %d to %d, demand %d to %d",
-				ratio.late/ratio.total, demand.late/demand.total, ratio.seconds, demand.seconds, ratio.later, demand.later,
-				ratio.lowest, ratio.most, demand.lowest, demand.most)
+			t.Logf("late: ratio %.4f demand %.4f; price: ratio %.0f demand %.0f, later ratio %.0f demand %.0f",
+				ratio.late/ratio.total, demand.late/demand.total, ratio.seconds, demand.seconds, ratio.later, demand.later)
 			g.Expect(demand.late / demand.total).To(BeNumerically("<=", ratio.late/ratio.total+0.01))
 			g.Expect(demand.late / demand.total).To(BeNumerically("<=", 0.01))
 			g.Expect(demand.later).To(BeNumerically("<=", ratio.later*2/3))
@@ -457,32 +451,23 @@
 
 // BenchmarkNeed measures a decision about 2,900 engines in 91 pools.
 func BenchmarkNeed(b *testing.B) {
-	need := NewNeed()
-	cfg := simNeedConfig()
+	need, cfg := NewNeed(), simNeedConfig()
 	cfg.Max, cfg.Domains = 5000, 6
 	need.Configure(cfg)
 	var pools []string
 	for i := range 91 {
 		pools = append(pools, fmt.Sprint("pool", i))
 	}
-	var engines []Engine
-	for i := range 2900 {
-		engines = append(engines, Engine{ID: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % 6), Cheap: i%5 > 0})
-	}
-	now := start
-	step := func() {
+	all, now := engines(backend.RolePrefill, 2900), start
+	for i := range 40 + b.N {
+		if i == 40 {
+			b.ResetTimer()
+		}
 		now = now.Add(500 * time.Millisecond)
 		for _, name := range pools {
 			need.Report(now, name, Report{Requests: 100, Prefill: 500_000, PrefillRate: simRate, Spread: 2})
 		}
-		need.Step(now, pools, engines, true)
-	}
-	for range 40 {
-		step()
-	}
-	b.ResetTimer()
-	for range b.N {
-		step()
+		need.Step(now, pools, all, true)
 	}
 }
 
