--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -76,6 +76,7 @@
 	}
 	countOrdered struct {
 		service string
+		plan    *serviceFleet
 		order   provision.ServerOrder
 		outcome hosting.Outcome
 		err     error
@@ -99,6 +100,8 @@
 	// seen. observed holds the numbers that are not settled yet.
 	baseCounts map[string]int
 	observed   map[string]observedCount
+	// badDemand holds the last problem of the reports of a pool, by pool.
+	badDemand map[string]string
 }
 
 // observedCount is a number of engines and the time since which it has been
@@ -109,8 +112,14 @@
 }
 
 // serviceFleet holds the planners of one service during a term. roles holds one
-// planner per pool.
+// planner per pool. need is nil and last is empty unless the plan is by demand.
 type serviceFleet struct {
+	need *provision.Need
+	last provision.Decision
+	// unanswered is the number of server orders without an answer.
+	unanswered int
+	// settled is set if no pool was short of a role at the last decision.
+	settled  bool
 	servers  *provision.Servers
 	roles    map[string]*provision.Roles
 	assigner pool.Assigner
@@ -169,12 +178,20 @@
 	listed := f.control.servers.Load().ofService(s.Name)
 	engines := provisionEngines(listed)
 	base, known := f.baseCount(now, s.Name, len(engines))
-	if known && plan.servers == nil && s.Scaling != nil && f.settings.OnDemand+f.settings.Cheap > 0 {
+	byDemand := f.settings.Plan == planDemand
+	if byDemand != (plan.need != nil) {
+		// The setting has changed.
+		plan.servers, plan.need, plan.last = nil, nil, provision.Decision{}
+	}
+	if byDemand && s.Scaling != nil {
+		f.orderByDemand(now, term, s, plan, engines)
+	}
+	if !byDemand && known && plan.servers == nil && s.Scaling != nil && f.settings.OnDemand+f.settings.Cheap > 0 {
 		plan.servers = provision.NewServers(f.serverConfig(s.Scaling, base))
 	}
-	if plan.servers != nil {
+	if !byDemand && plan.servers != nil {
 		for _, o := range plan.servers.Step(now, engines) {
-			f.orderCount(term, s.Name, o)
+			f.orderCount(term, s.Name, plan, o)
 		}
 	}
 	byID := map[string]provision.Engine{}
@@ -186,6 +203,7 @@
 		ids = append(ids, e.ID)
 	}
 	var changing []ChangingEngine
+	plan.settled = true
 	for i, shard := range plan.assigner.AssignEven(ids, shardCount(s)) {
 		name := pool.Key{Model: s.Name, Shard: i}.String()
 		roles := plan.roles[name]
@@ -200,6 +218,7 @@
 		for _, o := range roles.Step(now, members) {
 			f.orderRole(term, s.Name, name, o)
 		}
+		plan.settled = plan.settled && roles.Settled(now, members)
 		for _, o := range roles.Changing(now, members) {
 			changing = append(changing, ChangingEngine(o))
 		}
@@ -289,7 +308,8 @@
 	}()
 }
 
-func (f *fleetControl) orderCount(term int64, service string, o provision.ServerOrder) {
+func (f *fleetControl) orderCount(term int64, service string, plan *serviceFleet, o provision.ServerOrder) {
+	plan.unanswered++
 	go func() {
 		ctx, cancel := context.WithTimeout(f.duties.ctx, orderTimeout)
 		defer cancel()
@@ -298,7 +318,7 @@
 			Check: f.duties.termCheck(term),
 		}
 		outcome, err := f.capacity.SetCount(ctx, order)
-		f.control.emit(countOrdered{service: service, order: o, outcome: outcome, err: err})
+		f.control.emit(countOrdered{service: service, plan: plan, order: o, outcome: outcome, err: err})
 	}()
 }
 
@@ -313,6 +333,7 @@
 			plan.roles[ev.pool].OrderFailed(ev.order)
 		}
 	case countOrdered:
+		ev.plan.unanswered--
 		f.events.Record(event.KindOrder, "servers_ordered", ev.service, event.F("domain", ev.order.FailureDomain),
 			event.F("class", string(ev.order.Class)), event.F("count", formatInt(int64(ev.order.Count))),
 			event.F("outcome", ev.outcome.String()), event.F("error", errorText(ev.err)))
--- a/edge/message.go
+++ b/edge/message.go
@@ -28,6 +28,7 @@
 	kindSliceRequest  peer.Kind = 43
 	kindSlice         peer.Kind = 44
 	kindWorkReport    peer.Kind = 46
+	kindPoolDemand    peer.Kind = 45
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -171,6 +172,8 @@
 		return &Push{}
 	case kindFeedNotice:
 		return &FeedNotice{}
+	case kindPoolDemand:
+		return &PoolDemand{}
 	case kindRolesChanging:
 		return &RolesChanging{}
 	case kindCounts:
