--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -93,6 +93,21 @@
 	g.Expect(gate.used.Load()).To(BeZero(), "memory that is not given back")
 }
 
+// Guards against a body that ends one byte beyond the limit, and against one that ends
+// too early.
+func TestBodiesOfTheWrongSizeAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	_, addr, _ := serve(t, Config{}, Limits{}, time.Minute)
+	chunked := func(size int) string {
+		return post + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("x", size))
+	}
+	g.Expect(answer(connect(t, addr, chunked(1<<20)))).To(Equal(http.StatusOK))
+	g.Expect(answer(connect(t, addr, chunked(1<<20+1)))).To(Equal(http.StatusBadRequest))
+	short := connect(t, addr, post+"Content-Length: 5\r\n\r\nab")
+	g.Expect(short.(*net.TCPConn).CloseWrite()).To(Succeed())
+	g.Expect(answer(short)).To(Equal(http.StatusBadRequest))
+}
+
 // Guards against connections that are closed although sound clients may still reuse
 // them: up to four fifths of the idle timeout.
 func TestIdleConnectionsAreReused(t *testing.T) {
@@ -113,16 +128,19 @@
 // readers that are cut off.
 func TestUnreadAnswersEndAndSlowReadersDoNot(t *testing.T) {
 	g := NewWithT(t)
-	limits := Limits{HeaderTimeout: time.Second, IdleTimeout: 1200 * time.Millisecond}
+	limits := Limits{HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second}
 	gate, addr, _ := serve(t, Config{}, limits, time.Second)
 	request := strings.Replace(post, "/ ", "/large ", 1) + "\r\n"
 	unread, slow := connect(t, addr, request), connect(t, addr, request)
 	defer func() { _ = unread.Close() }()
 	total, buffer := 0, make([]byte, 256<<10)
-	for begin := time.Now(); time.Since(begin) < 6*time.Second; time.Sleep(50 * time.Millisecond) {
+	for i, begin := 0, time.Now(); time.Since(begin) < 6*time.Second; i++ {
 		n, err := slow.Read(buffer)
 		g.Expect(err).NotTo(HaveOccurred())
 		total += n
+		if time.Sleep(50 * time.Millisecond); i%40 == 39 {
+			time.Sleep(limits.IdleTimeout / 2) // The client accepts nothing for a while.
+		}
 	}
 	g.Expect(gate.counters.total[reasonUnread].Load()).To(BeEquivalentTo(1))
 	rest, err := io.Copy(io.Discard, slow)
@@ -194,6 +212,8 @@
 		gate.SetLimits(Limits{HeadBytes: -1, HeaderTimeout: -time.Second, IdleTimeout: 1000 * time.Hour})
 	}
 	g.Expect(gate.counters.total[reasonBadLimits].Load()).To(BeEquivalentTo(1))
+	gate.SetLimits(Limits{HeadBytes: 10})
+	gate.SetLimits(Limits{HeadBytes: 1 << 30})
 	gate.SetLimits(Limits{})
 	g.Expect(gate.Limits()).To(Equal(good))
 }
