edge: the order by urgency is off by default

The configuration names ranks and no values.

scheduling.urgency is now false unless the settings say otherwise.

--- a/edge/settings.go
+++ b/edge/settings.go
@@ -161,7 +161,7 @@
 	ExpectedCost bool `json:"expected_cost"`
 	// Urgency orders waiting requests by the time that is left until their objective
 	// and by priority, within the fair share of customers; false orders them by fair
-	// share and arrival only. Unit: boolean. Default: true.
+	// share and arrival only. Unit: true or false. Default: false.
 	Urgency bool `json:"urgency"`
 }
 
@@ -175,7 +175,7 @@
 		Lease:      3 * time.Second,
 		Usage:      UsageSettings{Window: time.Minute, Grace: 2 * time.Second, Due: 10 * time.Second},
 		Fleet:      FleetSettings{Plan: planRatio, LostCost: 2, OnDemand: 0.22, Cheap: 1.8, Floor: 1.3, DecodeShare: 0.4},
-		Scheduling: SchedulingSettings{ExpectedCost: true, Urgency: true},
+		Scheduling: SchedulingSettings{ExpectedCost: true},
 		LogLevel:   "info",
 
 		CustomerLimits: CustomerLimitSettings{HomeTimeout: 25 * time.Millisecond, MaxWait: 250 * time.Millisecond},
