review: the rig writes the entries of its servers each 1.2 s

Servers whose entries were written once could not tell their role, so that role orders took the decode engines away from the daemons and half of the requests of case 6 were refused.

--- a/review/rig-2/engine.go
+++ b/review/rig-2/engine.go
@@ -26,8 +26,13 @@
 	w       *world
 	address string
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// id names the current lifetime, which began at born and has written its entry
+	// sequence times. up is unset while the engine is down.
 	id       string
+	born     time.Time
+	sequence int
+	up       bool
 	listener net.Listener
 	conns    map[net.Conn]bool
 	runs     map[string]int
@@ -49,7 +54,22 @@
 	}
 	e := &engine{w: w, address: addresses[0], conns: map[net.Conn]bool{}, runs: map[string]int{}}
 	w.closers = append(w.closers, e.crash)
-	return e, e.start(id)
+	if err := e.start(id); err != nil {
+		return nil, err
+	}
+	w.beat(e.publish)
+	return e, nil
+}
+
+// publish writes the entry of the current lifetime, if the engine is up.
+func (e *engine) publish() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up {
+		return nil
+	}
+	e.sequence++
+	return e.w.publish(e.id, e.address, e.born, e.sequence)
 }
 
 // start begins a lifetime of the engine.
@@ -59,17 +79,18 @@
 		return err
 	}
 	e.mu.Lock()
-	e.id, e.listener = id, listener
+	e.id, e.listener, e.born, e.sequence, e.up = id, listener, time.Now(), 0, true
 	e.mu.Unlock()
 	go e.accept(listener)
 	e.w.note("engine %s starts", id)
-	return e.w.publish(id, e.address, time.Now())
+	return e.publish()
 }
 
 // crash ends the lifetime: the address refuses connections, and open ones are closed.
 func (e *engine) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.up = false
 	_ = e.listener.Close()
 	for c := range e.conns {
 		_ = c.Close()
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -44,6 +44,8 @@
 	plainService  = "desk"
 	customer      = "acme"
 	apiKey        = "key-acme-0"
+	// beatInterval is the interval at which servers write their entries.
+	beatInterval = 1200 * time.Millisecond
 	// readyTimeout bounds the start of a daemon.
 	readyTimeout = 15 * time.Second
 	// requestTimeout is the time that a consumer waits, and the timeout of all routes.
@@ -136,12 +138,38 @@
 		return nil, err
 	}
 	w.closers = append(w.closers, s.Close)
-	w.store.Put(w.names.Servers, s.ID(), s.Entry())
+	w.beat(func() error {
+		w.store.Put(w.names.Servers, s.ID(), s.Entry())
+		return nil
+	})
 	return s, nil
 }
 
+// beat calls publish now and at each interval at which servers write their entries.
+func (w *world) beat(publish func() error) {
+	if err := publish(); err != nil {
+		w.note("entry not written: %v", err)
+	}
+	done := make(chan struct{})
+	w.closers = append(w.closers, func() { close(done) })
+	go func() {
+		tick := time.NewTicker(beatInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			if err := publish(); err != nil {
+				w.note("entry not written: %v", err)
+			}
+		}
+	}()
+}
+
 // publish writes the entry of an engine to the store.
-func (w *world) publish(id, address string, born time.Time) error {
+func (w *world) publish(id, address string, born time.Time, sequence int) error {
 	entry := map[string]any{}
 	for k, v := range w.names.Entry {
 		switch v {
@@ -154,7 +182,7 @@
 		}
 		entry[k] = v
 	}
-	entry["born"] = born.UnixMilli()
+	entry["born"], entry["sequence"] = born.UnixMilli(), sequence
 	data, err := json.Marshal(entry)
 	if err != nil {
 		return err
@@ -186,6 +214,8 @@
 			"cores": 0.4, "memory_mb": 284, "max_descriptors": 4100, "stop_grace": "8s", "lease": "3000ms",
 			"retry": map[string]any{"ratio": 0.2, "extra": 56, "window": "10s"},
 			"usage": map[string]any{"window": "5s", "due": "10s"},
+			// The servers here can't be ordered, and have these roles from the start.
+			"fleet": map[string]any{"on_demand": 0, "cheap": 0, "decode_share": 0.6},
 		})
 		if err != nil {
 			return err
