--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -202,11 +202,13 @@
 	if err != nil {
 		return err
 	}
+	// All are drawn at once, so that none is drawn twice.
+	all, err := freeAddresses(4 * n)
+	if err != nil {
+		return err
+	}
 	for i := range n {
-		addresses, err := freeAddresses(4)
-		if err != nil {
-			return err
-		}
+		addresses := all[4*i:]
 		vm := fmt.Sprint("vm-", i)
 		settings, err := json.Marshal(map[string]any{
 			"vm": vm, "failure_domain": zone, "clients": addresses[0], "readiness": addresses[1],
