ingress: time-outs and evictions close no connection on which a request has begun

A request that had arrived when the idle timeout passed was dropped.

Change: the idle timeout ends the read as CloseIdle does, and the reader decides. A connection that is closed for its slot or memory, or as stalled, is retired only from the phase in which it was judged. The held listener of the tests moves to ingresstest.

The window of the evictions (a head that is completed between the choice and the close) was found by reading and has no test of its own.

--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -13,76 +13,15 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosakeel/mimosakeel/ingress"
+	"github.com/mimosakeel/mimosakeel/ingress/ingresstest"
 )
 
-// pausedListener pauses one read of its connection, after the first answer.
-type pausedListener struct {
-	net.Listener
-	*readPause
-}
-
-// readPause holds one read, before or after it takes bytes from the connection.
-type readPause struct {
-	before            bool
-	answered          chan struct{}
-	reached, released chan struct{}
-}
-
-type pausedConn struct {
-	net.Conn
-	*readPause
-	paused bool
-}
-
-func (l pausedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	return &pausedConn{Conn: conn, readPause: l.readPause}, err
-}
-
-// NetConn returns the connection below, as that of a tls.Conn does.
-func (c *pausedConn) NetConn() net.Conn { return c.Conn }
-
-func (c *pausedConn) Write(p []byte) (int, error) {
-	defer func() {
-		select {
-		case <-c.answered:
-		default:
-			close(c.answered)
-		}
-	}()
-	return c.Conn.Write(p)
-}
-
-func (c *pausedConn) Read(p []byte) (int, error) {
-	if c.before {
-		c.pause()
-		return c.Conn.Read(p)
-	}
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.pause()
-	}
-	return n, err
-}
-
-func (c *pausedConn) pause() {
-	select {
-	case <-c.answered:
-	default:
-		return
-	}
-	if !c.paused {
-		c.paused = true
-		close(c.reached)
-		<-c.released
-	}
-}
-
 // Guards against a planned stop that closes a connection on which a request is being read.
 func TestStopAnswersTheRequestThatIsBeingRead(t *testing.T) {
 	const head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 	for name, c := range map[string]struct {
-		// behindGate pauses between the gate and the server, before pauses before the read.
+		// behindGate holds the read between the gate and the server, before holds it before
+		// it takes bytes.
 		behindGate, before bool
 		// early is the part of the head that is sent before the stop begins.
 		early string
@@ -104,11 +43,13 @@
 			}), gate)
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
-			pause := &readPause{before: c.before, answered: make(chan struct{}), reached: make(chan struct{}), released: make(chan struct{})}
+			var held *ingresstest.Listener
 			if c.behindGate {
-				clients.listener = pausedListener{gate.Listen(listener), pause}
+				held = ingresstest.Listen(gate.Listen(listener), c.before)
+				clients.listener = held
 			} else {
-				clients.listener = gate.Listen(pausedListener{listener, pause})
+				held = ingresstest.Listen(listener, c.before)
+				clients.listener = gate.Listen(held)
 			}
 			go func() { _ = clients.Serve(clients.listener) }() // It returns once the listener is closed.
 			conn, err := net.Dial("tcp", listener.Addr().String())
@@ -119,13 +60,13 @@
 
 			_, err = io.WriteString(conn, c.early)
 			g.Expect(err).NotTo(HaveOccurred())
-			<-pause.reached
+			<-held.Reached()
 			stopped := make(chan error, 1)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			go func() { stopped <- clients.stop(ctx) }()
 			time.Sleep(10 * drainPollInterval)
-			close(pause.released)
+			held.Release()
 			g.Expect(roundTrip(conn, reader, head[len(c.early):])).To(Equal("served"))
 			g.Eventually(stopped, 3*time.Second).Should(Receive(BeNil()))
 		})
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -114,6 +114,8 @@
 
 	seen int64
 	rate float64
+	// judged is the phase in which the connection was last considered for closing.
+	judged phase
 }
 
 // Read implements net.Conn.
@@ -395,6 +397,16 @@
 	}
 }
 
+// retireFrom retires the connection if it is still in a phase. A request may have begun
+// to arrive since the connection was judged, and is then served.
+func (c *Conn) retireFrom(judged phase) bool {
+	if !c.phase.CompareAndSwap(judged, phaseRetired) {
+		return false
+	}
+	c.retire()
+	return true
+}
+
 // add charges memory; it reports false if the connection is retired.
 func (c *Conn) add(n int64) bool {
 	c.mu.Lock()
@@ -423,9 +435,10 @@
 
 // candidate describes the connection at a time of the Gate. gate.mu is held.
 func (c *Conn) candidate(now int64) candidate {
+	c.judged = c.phase.Load()
 	return candidate{
 		conn:    c,
-		phase:   c.phase.Load(),
+		phase:   c.judged,
 		extra:   c.charged(),
 		age:     time.Duration(now - c.since.Load()),
 		stalled: time.Duration(now - c.progressAt.Load()),
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -259,11 +260,7 @@
 	g.mu.Lock()
 	var victims []*Conn
 	if len(l.conns) >= l.max {
-		victims = slotVictims(g.candidates(l), 1+l.max/slotBatch)
-		for _, v := range victims {
-			v.retire()
-			delete(l.conns, v)
-		}
+		victims = retireVictims(slotVictims(g.candidates(l), 1+l.max/slotBatch))
 	}
 	var c *Conn
 	if len(l.conns) < l.max {
@@ -333,21 +330,27 @@
 			g.fullUntil = now + int64(noVictimsTime)
 		}
 	}
-	for _, v := range victims {
-		if v != self {
-			v.retire()
-			delete(v.listener.conns, v)
-		}
-	}
+	victims = slices.DeleteFunc(victims, func(v *Conn) bool { return v == self })
+	victims = retireVictims(victims)
 	g.mu.Unlock()
 	for _, v := range victims {
-		if v != self {
-			_ = v.Conn.Close() // The client may be gone.
-			g.counters.count(reasonMemory)
-		}
+		_ = v.Conn.Close() // The client may be gone.
+		g.counters.count(reasonMemory)
 	}
 }
 
+// retireVictims retires the connections that are still in the phase in which they were
+// chosen, and returns them. gate.mu is held.
+func retireVictims(chosen []*Conn) []*Conn {
+	return slices.DeleteFunc(chosen, func(v *Conn) bool {
+		if !v.retireFrom(v.judged) {
+			return true
+		}
+		delete(v.listener.conns, v)
+		return false
+	})
+}
+
 // alone reports whether no other connection takes more memory than an idle one.
 func (g *Gate) alone(c *Conn) bool {
 	g.mu.Lock()
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/mimosakeel/mimosakeel/ingress/ingresstest"
 )
 
 // serve runs a server whose handler reads bodies of up to 1 MB and answers with their
@@ -124,6 +126,36 @@
 	g.Expect(answer(c)).To(Equal(http.StatusOK))
 }
 
+// Guards against an idle timeout that closes a connection whose next request has arrived.
+func TestIdleTimeoutServesARequestThatHasArrived(t *testing.T) {
+	for _, beforeRead := range []bool{false, true} {
+		t.Run(fmt.Sprint("beforeRead=", beforeRead), func(t *testing.T) {
+			g := NewWithT(t)
+			gate := New(Config{})
+			t.Cleanup(gate.Close)
+			gate.SetLimits(Limits{HeaderTimeout: 5 * time.Second, IdleTimeout: time.Second})
+			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				time.Sleep(20 * time.Millisecond) // The server starts to read ahead.
+			})}
+			gate.Attach(server)
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			held := ingresstest.Listen(inner, beforeRead)
+			go func() { _ = server.Serve(gate.Listen(held)) }() // Serve returns after Close.
+			t.Cleanup(func() { _ = server.Close() })
+			c := connect(t, inner.Addr().String(), post+"\r\n")
+			g.Expect(answer(c)).To(Equal(http.StatusOK))
+			time.Sleep(700 * time.Millisecond)
+			_, err = io.WriteString(c, post+"\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			<-held.Reached()
+			time.Sleep(time.Second)
+			held.Release()
+			g.Expect(answer(c)).To(Equal(http.StatusOK))
+		})
+	}
+}
+
 // Guards against answers that are kept for a client that reads nothing, and against slow
 // readers that are cut off.
 func TestUnreadAnswersEndAndSlowReadersDoNot(t *testing.T) {
--- a/ingress/sweep.go
+++ b/ingress/sweep.go
@@ -43,6 +43,7 @@
 const (
 	actNothing action = iota
 	actClose
+	actCloseIdle
 	actInterruptRead
 	actInterruptWrite
 )
@@ -63,11 +64,16 @@
 			useful := c.useful.Load()
 			c.rate += rateWeight * (float64(useful-c.seen)/sweepInterval.Seconds() - c.rate)
 			c.seen = useful
+			c.judged = c.phase.Load()
 			act, why := c.check(now, wall, limits)
-			if act == actClose {
+			switch {
+			case act == actClose && c.retireFrom(c.judged):
 				g.counters.count(why)
-				c.retire()
 				delete(l.conns, c)
+			case act == actClose:
+				act = actNothing
+			case act == actCloseIdle:
+				g.counters.count(why)
 			}
 			if act != actNothing {
 				all = append(all, due{c, act})
@@ -80,6 +86,8 @@
 		switch d.act {
 		case actClose:
 			_ = d.conn.Conn.Close()
+		case actCloseIdle:
+			d.conn.closeIfIdle(now, 0)
 		case actInterruptRead:
 			_ = d.conn.Conn.SetReadDeadline(past)
 		case actInterruptWrite:
@@ -88,14 +96,15 @@
 	}
 }
 
-// check compares the times of a connection with the limits. gate.mu is held.
+// check compares the times of a connection in the phase judged with the limits. gate.mu
+// is held.
 func (c *Conn) check(now int64, wall time.Time, l Limits) (action, reason) {
 	waited := time.Duration(now - c.since.Load())
 	stalled := time.Duration(now - c.progressAt.Load())
-	switch c.phase.Load() {
+	switch c.judged {
 	case phaseNew, phaseIdle:
 		if waited > l.IdleTimeout {
-			return actClose, reasonIdle
+			return actCloseIdle, reasonIdle
 		}
 	case phaseHead:
 		if waited > l.HeaderTimeout && c.phase.CompareAndSwap(phaseHead, phaseLate) {
@@ -117,7 +126,7 @@
 		}
 	}
 	since := c.writing.Load()
-	if since == 0 || c.ownDeadline.Load() || c.phase.Load() == phaseRefused {
+	if since == 0 || c.ownDeadline.Load() || c.judged == phaseRefused {
 		return actNothing, 0
 	}
 	if probed := max(since, c.probed.Load()); now-probed >= int64(l.IdleTimeout/probesPerTimeout) {
