edge: a planned stop waits for connections that are being accepted

Callers: a connection that was accepted when the listener of a stopping daemon closed, and on which a request had arrived, ended without an answer if no other was open: the connections were counted by http.Server after Accept, and the stop ended before.

Change: the stop ends only once Serve has returned.

TestStopWaitsForAnAcceptedConnection failed before (the stop ended while the connection was held in Accept).

--- a/edge/drain.go
+++ b/edge/drain.go
@@ -40,10 +40,12 @@
 	listener net.Listener
 	// open is the number of open connections.
 	open atomic.Int64
+	// served is closed once Serve has returned and accepts no connection any more.
+	served chan struct{}
 }
 
 func newClientServer(handler http.Handler, gate *ingress.Gate) *clientServer {
-	s := &clientServer{Server: &http.Server{Handler: handler}, gate: gate}
+	s := &clientServer{Server: &http.Server{Handler: handler}, gate: gate, served: make(chan struct{})}
 	s.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
@@ -56,6 +58,12 @@
 	return s
 }
 
+// Serve is http.Server.Serve. It must be called before stop.
+func (s *clientServer) Serve(l net.Listener) error {
+	defer close(s.served)
+	return s.Server.Serve(l)
+}
+
 // stop accepts no further connections, closes idle ones and the others once they are
 // idle, and waits until all are closed or the context ends. http.Server closes idle
 // connections too, but calls them idle until it has parsed the head of a request.
@@ -63,7 +71,7 @@
 	err := s.listener.Close()
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
-	for s.open.Load() > 0 {
+	for !s.closed() {
 		s.gate.CloseIdle()
 		select {
 		case <-poll.C:
@@ -74,6 +82,16 @@
 	return err
 }
 
+// closed reports whether no connection is open or about to be.
+func (s *clientServer) closed() bool {
+	select {
+	case <-s.served:
+		return s.open.Load() == 0
+	default:
+		return false
+	}
+}
+
 // shutdownTimes returns the times of a planned stop that begins at a time.
 func shutdownTimes(begin time.Time, grace time.Duration) dispatch.ShutdownTimes {
 	end := begin.Add(max(grace-drainReserve, grace/2))
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -394,7 +394,11 @@
 			d.ingress.Attach(server)
 			listener = d.ingress.ListenAside(listener)
 		}
-		go func() { failed <- server.Serve(listener) }()
+		serve := server.Serve
+		if server == clients.Server {
+			serve = clients.Serve
+		}
+		go func() { failed <- serve(listener) }()
 	}
 	return clients, failed, nil
 }
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +88,118 @@
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
+
+// heldAccept holds the first connection before Accept returns it.
+type heldAccept struct {
+	net.Listener
+	once              sync.Once
+	reached, released chan struct{}
+}
+
+func (l *heldAccept) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.once.Do(func() {
+			close(l.reached)
+			<-l.released
+		})
+	}
+	return c, err
+}
+
+// Guards against a planned stop that ends before a connection that was accepted is served.
+func TestStopWaitsForAnAcceptedConnection(t *testing.T) {
+	g := NewWithT(t)
+	gate := ingress.New(ingress.Config{})
+	defer gate.Close()
+	clients := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") }), gate)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	held := &heldAccept{Listener: inner, reached: make(chan struct{}), released: make(chan struct{})}
+	clients.listener = gate.Listen(held)
+	go func() { _ = clients.Serve(clients.listener) }() // It returns once the listener is closed.
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	<-held.reached
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- clients.stop(ctx) }()
+	g.Consistently(stopped, 200*time.Millisecond).ShouldNot(Receive(), "the process exits with a request that has arrived")
+	close(held.released)
+	g.Expect(roundTrip(conn, bufio.NewReader(conn), "")).To(Equal("served"))
+}
+
+// Guards against a request that is passed on and cut by a planned stop. Clients send heads
+// in pieces around the moment at which idle connections are closed.
+func TestStopCutsNoRequestThatIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	const clientsPerRound = 60
+	var handled, answered, cut, crossed atomic.Int64
+	rounds := 0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); rounds++ {
+		gate := ingress.New(ingress.Config{})
+		var seen sync.Map
+		clients := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen.Store(r.URL.Path, true)
+			handled.Add(1)
+			select {
+			case <-r.Context().Done():
+				cut.Add(1)
+			case <-time.After(time.Millisecond):
+			}
+			fmt.Fprint(w, "served")
+		}), gate)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		clients.listener = gate.Listen(listener)
+		go func() { _ = clients.Serve(clients.listener) }() // It returns once the listener is closed.
+		begin := time.Now().Add(40 * time.Millisecond)
+		var wg sync.WaitGroup
+		for i := range clientsPerRound {
+			wg.Go(func() {
+				conn, err := net.Dial("tcp", listener.Addr().String())
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				send := func(path, gap string) bool {
+					head := "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"
+					if gap != "" {
+						if _, err := io.WriteString(conn, head[:9]); err != nil {
+							return false
+						}
+						head = head[9:]
+						time.Sleep(50 * time.Microsecond)
+					}
+					body, err := roundTrip(conn, reader, head)
+					return err == nil && body == "served"
+				}
+				if !send("/first/"+strconv.Itoa(i), "") {
+					return
+				}
+				time.Sleep(time.Until(begin) + time.Duration(i-clientsPerRound/2)*300*time.Microsecond)
+				path := "/second/" + strconv.Itoa(i)
+				if send(path, "x") {
+					answered.Add(1)
+				} else if _, ran := seen.Load(path); ran {
+					t.Errorf("round %d: %s was passed on and not answered", rounds, path)
+				} else {
+					crossed.Add(1)
+				}
+			})
+		}
+		time.Sleep(time.Until(begin))
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		g.Expect(clients.stop(ctx)).To(Succeed())
+		cancel()
+		wg.Wait()
+		gate.Close()
+	}
+	t.Logf("%d rounds, %d handled, %d second requests answered, %d crossed the close, %d cancelled", rounds, handled.Load(), answered.Load(), crossed.Load(), cut.Load())
+	g.Expect(cut.Load()).To(BeZero())
+}
