ingress, daemon: the planned stop of the product's own daemon answers what is being read

Change: the stop of client connections moves from edge to ingress.Server, and both daemons use it. With TLS the product's daemon keeps Shutdown, which tells clients of HTTP/2 to go away; the gate doesn't see the heads of sealed connections.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -83,7 +83,7 @@
 	services *backend.Services
 	ingress  *ingress.Gate
 	listener net.Listener
-	server   *http.Server
+	server   *ingress.Server
 	appends  map[string]*appender
 	gate     *freshnessGate
 	orders   *orderController
@@ -206,11 +206,10 @@
 // reports not ready, waits for the load balancer, completes all requests and
 // releases its leases.
 func (d *Daemon) Run(ctx context.Context) error {
-	d.server = &http.Server{
+	d.server = ingress.NewServer(&http.Server{
 		Handler:           d.handler(),
 		ReadHeaderTimeout: d.settings.Clients.HeaderTimeout,
-	}
-	d.ingress.Attach(d.server)
+	}, d.ingress, d.listener)
 	defer d.ingress.Close()
 	failed := make(chan error, 1)
 	go func() { failed <- d.serve() }()
@@ -230,7 +229,7 @@
 	if s.TLSCert != "" {
 		err = d.server.ServeTLS(d.listener, s.TLSCert, s.TLSKey)
 	} else {
-		err = d.server.Serve(d.listener)
+		err = d.server.Serve()
 	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -244,7 +243,12 @@
 	d.gateway.SetReady(false)
 	sleep(context.Background(), d.settings.Process.DrainGrace)
 	_ = d.gateway.Drain(context.Background())
-	_ = d.server.Shutdown(context.Background())
+	if d.settings.Clients.TLSCert != "" {
+		// Clients of HTTP/2 are told to go away.
+		_ = d.server.Shutdown(context.Background())
+	} else {
+		_ = d.server.Stop(context.Background())
+	}
 	d.releaseLeases()
 	d.announceEnd()
 	d.close()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -372,37 +372,35 @@
 
 // listen serves clients, the readiness check and, if configured, the metrics.
 // Errors of the servers arrive on failed.
-func (d *Daemon) listen() (clients *clientServer, failed chan error, err error) {
+func (d *Daemon) listen() (clients *ingress.Server, failed chan error, err error) {
 	failed = make(chan error, 3)
-	clients = newClientServer(d.ClientHandler(d), d.ingress)
-	servers := map[string]*http.Server{
-		d.Settings.Clients:   clients.Server,
-		d.Settings.Readiness: {Handler: http.HandlerFunc(d.readiness)},
+	listener, err := listen(d.Settings.Clients)
+	if err != nil {
+		return nil, nil, err
 	}
+	clients = ingress.NewServer(&http.Server{Handler: d.ClientHandler(d)}, d.ingress, d.ingress.Listen(listener))
+	aside := map[string]http.Handler{d.Settings.Readiness: http.HandlerFunc(d.readiness)}
 	if addr := d.Settings.Metrics; addr != "" {
-		servers[addr] = &http.Server{Handler: d.metricsRoutes()}
+		aside[addr] = d.metricsRoutes()
 	}
-	for addr, server := range servers {
-		listener, err := net.Listen("tcp", addr)
+	for addr, handler := range aside {
+		listener, err := listen(addr)
 		if err != nil {
-			return nil, nil, eris.Wrapf(err, "listen on %s", addr)
-		}
-		if server == clients.Server {
-			listener = d.ingress.Listen(listener)
-			clients.listener = listener
-		} else {
-			d.ingress.Attach(server)
-			listener = d.ingress.ListenAside(listener)
-		}
-		serve := server.Serve
-		if server == clients.Server {
-			serve = clients.Serve
+			return nil, nil, err
 		}
-		go func() { failed <- serve(listener) }()
+		server := &http.Server{Handler: handler}
+		d.ingress.Attach(server)
+		go func() { failed <- server.Serve(d.ingress.ListenAside(listener)) }()
 	}
+	go func() { failed <- clients.Serve() }()
 	return clients, failed, nil
 }
 
+func listen(addr string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", addr)
+	return listener, eris.Wrapf(err, "listen on %s", addr)
+}
+
 // newFeeds returns the feeds of the topics that all daemons replicate.
 func (d *Daemon) newFeeds() (feeds [feedCount]*feed) {
 	topics := [feedCount]hosting.Topic{
--- a/edge/stop_test.go
+++ b/ingress/server_test.go
@@ -1,4 +1,4 @@
-package edge
+package ingress
 
 import (
 	"bufio"
@@ -15,7 +15,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/mimosakeel/mimosakeel/ingress"
 	"github.com/mimosakeel/mimosakeel/ingress/ingresstest"
 )
 
@@ -38,23 +37,25 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			gate := ingress.New(ingress.Config{})
+			gate := New(Config{})
 			defer gate.Close()
-			clients := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				time.Sleep(drainPollInterval) // The server starts to read ahead.
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(closePollInterval) // The server starts to read ahead.
 				fmt.Fprint(w, "served")
-			}), gate)
+			})
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
 			var held *ingresstest.Listener
+			var gated net.Listener
 			if c.behindGate {
 				held = ingresstest.Listen(gate.Listen(listener), c.before)
-				clients.listener = held
+				gated = held
 			} else {
 				held = ingresstest.Listen(listener, c.before)
-				clients.listener = gate.Listen(held)
+				gated = gate.Listen(held)
 			}
-			go func() { _ = clients.Serve(clients.listener) }() // It returns once the listener is closed.
+			clients := NewServer(&http.Server{Handler: handler}, gate, gated)
+			go func() { _ = clients.Serve() }() // It returns once the listener is closed.
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = conn.Close() }()
@@ -67,8 +68,8 @@
 			stopped := make(chan error, 1)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			go func() { stopped <- clients.stop(ctx) }()
-			time.Sleep(10 * drainPollInterval)
+			go func() { stopped <- clients.Stop(ctx) }()
+			time.Sleep(10 * closePollInterval)
 			held.Release()
 			g.Expect(roundTrip(conn, reader, head[len(c.early):])).To(Equal("served"))
 			g.Eventually(stopped, 3*time.Second).Should(Receive(BeNil()))
@@ -110,14 +111,14 @@
 // Guards against a planned stop that ends before a connection that was accepted is served.
 func TestStopWaitsForAnAcceptedConnection(t *testing.T) {
 	g := NewWithT(t)
-	gate := ingress.New(ingress.Config{})
+	gate := New(Config{})
 	defer gate.Close()
-	clients := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") }), gate)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") })
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	held := &heldAccept{Listener: inner, reached: make(chan struct{}), released: make(chan struct{})}
-	clients.listener = gate.Listen(held)
-	go func() { _ = clients.Serve(clients.listener) }() // It returns once the listener is closed.
+	clients := NewServer(&http.Server{Handler: handler}, gate, gate.Listen(held))
+	go func() { _ = clients.Serve() }() // It returns once the listener is closed.
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = conn.Close() }()
@@ -127,7 +128,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	stopped := make(chan error, 1)
-	go func() { stopped <- clients.stop(ctx) }()
+	go func() { stopped <- clients.Stop(ctx) }()
 	g.Consistently(stopped, 200*time.Millisecond).ShouldNot(Receive(), "the process exits with a request that has arrived")
 	close(held.released)
 	g.Expect(roundTrip(conn, bufio.NewReader(conn), "")).To(Equal("served"))
@@ -141,9 +142,9 @@
 	var handled, answered, cut, crossed atomic.Int64
 	rounds := 0
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); rounds++ {
-		gate := ingress.New(ingress.Config{})
+		gate := New(Config{})
 		var seen sync.Map
-		clients := newClientServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			seen.Store(r.URL.Path, true)
 			handled.Add(1)
 			select {
@@ -152,11 +153,11 @@
 			case <-time.After(time.Millisecond):
 			}
 			fmt.Fprint(w, "served")
-		}), gate)
+		})
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		g.Expect(err).NotTo(HaveOccurred())
-		clients.listener = gate.Listen(listener)
-		go func() { _ = clients.Serve(clients.listener) }() // It returns once the listener is closed.
+		clients := NewServer(&http.Server{Handler: handler}, gate, gate.Listen(listener))
+		go func() { _ = clients.Serve() }() // It returns once the listener is closed.
 		begin := time.Now().Add(40 * time.Millisecond)
 		var wg sync.WaitGroup
 		for i := range clientsPerRound {
@@ -195,7 +196,7 @@
 		}
 		time.Sleep(time.Until(begin))
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		g.Expect(clients.stop(ctx)).To(Succeed())
+		g.Expect(clients.Stop(ctx)).To(Succeed())
 		cancel()
 		wg.Wait()
 		gate.Close()
