--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	Backends   Backends
 	Budget     RetryBudget
 	Quarantine Quarantine
+	Versions   VersionPins
 	Usage      UsageCounter
 	Events     *event.Recorder
 	Shutdown   *Shutdown
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -76,6 +76,9 @@
 	// LastEvent is the ID of the last event that the client already has; empty if
 	// it asks for the whole stream.
 	LastEvent string
+	// Resumes is the ID of the client attempt that brought the first event of the
+	// stream that this request takes up; empty if none.
+	Resumes string
 }
 
 // Content is what requests are compared by, to find those that crash servers.
@@ -246,6 +249,8 @@
 	Whole bool
 	// Resumed is set if the client already has the start of the answer.
 	Resumed bool
+	// Version is the software version that the servers must have; empty if any.
+	Version string
 }
 
 // Placement assigns servers to one attempt.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,6 +19,8 @@
 	Service       string
 	Addr          string
 	FailureDomain string
+	// SoftwareVersion is the version of the server's software, not of the weights.
+	SoftwareVersion string
 	// Slots is the number of requests that the server runs at the same time.
 	Slots int
 	// Draining marks a server that is about to stop and gets no new requests.
