--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -2,6 +2,10 @@
 
 import "context"
 
+// ReasonNoVersion is the reason of a request that is refused because no server of the
+// required software version can take it.
+const ReasonNoVersion = "no_server_of_version"
+
 // VersionPins remembers the software version of the servers that began streams. What
 // servers of two versions write does not fit together in one stream.
 type VersionPins interface {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,6 +138,7 @@
 		Backends:   cfg.Backends,
 		Budget:     d.budget,
 		Quarantine: guard,
+		Versions:   newVersionPins(),
 		Usage:      d,
 		Events:     cfg.Events,
 		Shutdown:   dispatch.NewShutdown(),
--- a/edge/pools.go
+++ b/edge/pools.go
@@ -23,6 +23,8 @@
 	scheduler string
 	shard     int
 	shards    int
+	// versions holds the IDs of the servers that can take streams, by software version.
+	versions map[string][]string
 }
 
 const (
--- a/pool/event.go
+++ b/pool/event.go
@@ -64,6 +64,8 @@
 	Adapter string
 	// Avoid names runners on which earlier attempts failed.
 	Avoid []string
+	// Version is the software version that the runners must have; "" for any.
+	Version string `cbor:",omitempty"`
 }
 
 // Ticket identifies an open grant.
@@ -73,9 +75,11 @@
 type RunnerInfo struct {
 	ID            string
 	FailureDomain string
-	Role          backend.Role
-	Class         hosting.ServerClass
-	State         hosting.ServerState
+	// Version is the version of the runner's software.
+	Version string
+	Role    backend.Role
+	Class   hosting.ServerClass
+	State   hosting.ServerState
 	// Changing is set while a runner changes its role or model, or is drained.
 	Changing bool
 	// LeaveAt is the time at which a leaving runner stops; zero if unknown.
