--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -34,6 +34,7 @@
 	placements []PlacementRequest
 	results    []Result
 	options    []RunOptions
+	ranAt      []string
 	released   []string
 	charged    int
 	taken      int
@@ -46,9 +47,49 @@
 	quarantinedAfter int
 	left             int
 	served           int
-	lost             []string
-	lostPrefill      []bool
-	flowed           []bool
+	// byVersion makes Place skip the servers of versions that were not asked for.
+	byVersion bool
+	skipped   int
+	// lastEvent and resumes belong to the request.
+	lastEvent, resumes string
+	// beganAt holds the versions at which streams began, by request, and unconfirmed
+	// those that Confirm rejects. pinned and startedBefore tell what Pin got, and
+	// whether the answer had already been started.
+	beganAt       map[string]string
+	unconfirmed   map[string]bool
+	confirmed     []string
+	pinned        []string
+	startedBefore bool
+	lookedUp      []string
+
+	lost        []string
+	lostPrefill []bool
+	flowed      []bool
+}
+
+// pinsFake implements VersionPins.
+type pinsFake fakes
+
+func (f *pinsFake) Confirm(_ context.Context, _, version string) error {
+	f.confirmed = append(f.confirmed, version)
+	if f.unconfirmed[version] {
+		return errors.New("not confirmed")
+	}
+	return nil
+}
+
+func (f *pinsFake) Pin(_, request, version string) {
+	f.pinned = append(f.pinned, request+"="+version)
+	f.startedBefore = f.startedBefore || f.answer.status != 0
+}
+
+func (f *pinsFake) Lookup(_ context.Context, _, request string) (string, error) {
+	f.lookedUp = append(f.lookedUp, request)
+	version, ok := f.beganAt[request]
+	if !ok {
+		return "", errors.New("not known")
+	}
+	return version, nil
 }
 
 // guardFake implements Quarantine.
@@ -125,7 +166,11 @@
 
 func (f *fakes) Place(_ context.Context, r PlacementRequest) (*Placement, error) {
 	f.placements = append(f.placements, r)
-	at := len(f.placements) - 1
+	at := len(f.placements) - 1 + f.skipped
+	for f.byVersion && r.Version != "" && at < len(f.servers) && f.servers[at].SoftwareVersion != r.Version {
+		f.skipped++
+		at++
+	}
 	if at >= len(f.servers) {
 		return nil, &Failure{Run: backend.RunNever, Reason: "no_server", RetryAfter: time.Second}
 	}
@@ -167,8 +212,9 @@
 	return Handle{Server: s, ID: "h-" + s.ID}, nil
 }
 
-func (f *fakes) Run(_ context.Context, _ *registry.Server, _ *Request, o RunOptions) (Reply, *AttemptError) {
+func (f *fakes) Run(_ context.Context, s *registry.Server, _ *Request, o RunOptions) (Reply, *AttemptError) {
 	f.options = append(f.options, o)
+	f.ranAt = append(f.ranAt, s.ID)
 	out := f.runs[0]
 	f.runs = f.runs[1:]
 	if failed, ok := out.(*AttemptError); ok {
@@ -186,10 +232,11 @@
 	}
 	events := event.NewRecorder(hlc.New(time.Now), "test", nil, logger)
 	defer events.Close()
-	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Usage: f, Events: events, Shutdown: NewShutdown()}
+	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Versions: (*pinsFake)(f), Usage: f, Events: events, Shutdown: NewShutdown()}
 	r := &Request{
 		ID: "r1", Customer: "acme", Route: &route, Service: &catalog.Service{Name: "s"},
 		Prompt: prompt, Deadline: time.Now().Add(time.Minute),
+		LastEvent: f.lastEvent, Resumes: f.resumes,
 	}
 	d.Serve(context.Background(), r, &f.answer)
 }
--- /dev/null
+++ b/pool/filter_version_test.go
@@ -0,0 +1,107 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mimosakeel/mimosakeel/backend"
+	"github.com/mimosakeel/mimosakeel/hosting"
+)
+
+// versionPool returns a pool of runners of the versions, all of the same role.
+func versionPool(cfg Config, role backend.Role, versions ...string) (*Pool, []RunnerInfo) {
+	cfg.RunnerTimeout = 0
+	p := New(cfg, 0)
+	list := runnerList(len(versions))
+	for i := range list {
+		list[i].Role, list[i].Version = role, versions[i]
+	}
+	p.Step(startTime, RunnersListed{list})
+	return p, list
+}
+
+func versionRequest(id int, version string) Request {
+	return Request{ID: fmt.Sprint(version, id), Entry: "e", Customer: "c", PromptTokens: 10, MaxTokens: 10, Version: version}
+}
+
+// Guards against a stream that goes on at a runner of another version.
+func TestRequiredVersionIsPlacedOnlyThere(t *testing.T) {
+	configs := Baselines()
+	configs["default"] = DefaultConfig()
+	for name, cfg := range configs {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, _ := versionPool(cfg, backend.RoleMixed, "v1", "v2", "v1", "v1")
+			counts := map[string]int{}
+			for i := range 10 {
+				grantedOn(p.Step(startTime, GrantRequested{versionRequest(i, "v2")}), counts)
+			}
+			g.Expect(counts).To(Equal(map[string]int{"r1": 10}))
+			for i := range 10 {
+				grantedOn(p.Step(startTime, GrantRequested{versionRequest(i, "")}), counts)
+			}
+			g.Expect(counts["r0"] + counts["r2"] + counts["r3"]).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// Guards against a decode from the KV cache of another version.
+func TestPrefillAndDecodeHaveTheRequiredVersion(t *testing.T) {
+	g := NewWithT(t)
+	p := splitPool()
+	list := runnerList(4)
+	roles := []backend.Role{backend.RolePrefill, backend.RolePrefill, backend.RoleDecode, backend.RoleDecode}
+	for i, version := range []string{"v1", "v2", "v1", "v2"} {
+		list[i].Role, list[i].Version = roles[i], version
+	}
+	p.Step(startTime, RunnersListed{list})
+	r := versionRequest(1, "v2")
+	r.PromptTokens = 8000
+	granted := grantOf(g, p, startTime, r)
+	g.Expect([]string{granted.Prefill, granted.Runner}).To(Equal([]string{"r1", "r3"}))
+
+	list[1].Version = "v1"
+	p.Step(startTime, RunnersListed{list})
+	r.ID = "without prefill runner"
+	granted = grantOf(g, p, startTime, r)
+	g.Expect([]string{granted.Prefill, granted.Runner}).To(Equal([]string{"", "r3"}))
+}
+
+// Guards against an import of KV cache that another version wrote.
+func TestCacheOfAnotherVersionIsNotImported(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := versionPool(DefaultConfig(), backend.RoleMixed, "v1", "v2")
+	blocks, sizes := []uint64{1, 2}, []int{6000, 2000}
+	p.Step(startTime, CacheNoted{Runners: []string{"r0"}, Blocks: blocks})
+	r := versionRequest(1, "v2")
+	r.PromptTokens, r.Blocks, r.BlockTokens = 8000, blocks, sizes
+	granted := grantOf(g, p, startTime, r)
+	g.Expect(granted.Runner).To(Equal("r1"))
+	g.Expect(granted.KVSource).To(BeEmpty())
+}
+
+// Guards against a request that waits for a version that no runner has, and against one
+// that is told to come back only after its client has given up.
+func TestRequiredVersionWithoutRunnerIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	cfg := DefaultConfig()
+	cfg.DownFor = time.Second
+	p, list := versionPool(cfg, backend.RoleMixed, "v1", "v2")
+	refused := func(actions []Action) Refused {
+		g.Expect(actions).To(HaveLen(1))
+		g.Expect(actions[0]).To(BeAssignableToTypeOf(Refused{}))
+		return actions[0].(Refused)
+	}
+	r := refused(p.Step(startTime, GrantRequested{versionRequest(1, "v3")}))
+	g.Expect(r.Reason).To(Equal(ReasonNoRunner))
+	g.Expect(r.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second)))
+
+	p.Step(startTime, RunnerLimited{Runner: "r1", Limit: 0.1, Limited: true})
+	g.Expect(p.Step(startTime, GrantRequested{versionRequest(2, "v2")})).To(BeEmpty(), "waits for its turn")
+	list[1].State = hosting.ServerLeaving
+	p.Step(startTime, RunnersListed{list})
+	g.Expect(refused(p.Step(startTime, Tick{})).Request).To(Equal("v22"))
+}
