dispatch, pool, edge: streams go on only at the software version that began them

Callers saw one stream joined from two software versions of a service: after a broken connection the rest came from a server of another version, within one answer or after the client had taken the stream up with Last-Event-Id. Servers don't check this.

Cause: the version in a server's entry was dropped, so that neither the daemon nor the scheduler could tell servers of two versions apart.

A stream on a resumable route is now bound to the version of the server that sends its first event. The version is recorded (VersionPins.Pin) before the client gets that event, and must have been confirmed before the request is sent. A request that takes a stream up is bound by VersionPins.Lookup of the request named in Resumes; if the version is not known, it is refused as not run (version_unknown), never guessed. A bound request is placed only on servers of its version: the filter FilterVersion in the scheduler of a pool, for prefill, decode and the source of cached KV, the scheduler of plain services, and the choice among the pools of a service, whose servers of the version may all be in another pool than the prompt's. Without such a server it is refused at once (no_server_of_version). Before it sends, dispatch compares the versions of the placement, since the scheduler may know an older list or be of an older build. Requests without a required version are placed as before, except that cached KV is imported only from a server of the importing server's version.

Log lines name the version of the server and the required one; take-ups are counted by result in mimosakeel_dispatch_take_ups_total.

VersionPins of this commit remembers the streams of the process only, so a take-up elsewhere or after a restart is refused.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,11 +41,15 @@
 	ctx, end := endWith(ctx, d.Shutdown.running)
 	defer end()
 	d.Budget.Arrived(r.Service.Name)
-	c := &call{Dispatcher: d, request: r, content: r.Content(), answer: answer, lastEventID: r.LastEvent}
+	c := &call{Dispatcher: d, request: r, content: r.Content(), answer: answer, lastEventID: r.LastEvent, binding: newVersionBinding(r)}
 	if d.Shutdown.tooLate(r.Deadline) {
 		c.fail(stoppingFailure(backend.RunNever))
 		return
 	}
+	if failure := c.lookUpVersion(ctx); failure != nil {
+		c.fail(failure)
+		return
+	}
 	for {
 		switch out := c.attempt(ctx); {
 		case out.answered:
@@ -88,6 +92,7 @@
 	started bool
 	// lastEventID is the ID of the last event that the client has received.
 	lastEventID string
+	binding     versionBinding
 	times       requestTimes
 }
 
@@ -117,7 +122,7 @@
 	}
 	asked := time.Now()
 	placing, end := endWith(ctx, c.Shutdown.placing)
-	place, err := c.Scheduler.Place(placing, PlacementRequest{Request: c.request, Avoid: c.avoid, Whole: c.prefilled, Resumed: c.started})
+	place, err := c.Scheduler.Place(placing, PlacementRequest{Request: c.request, Avoid: c.avoid, Whole: c.prefilled, Resumed: c.started, Version: c.binding.version})
 	stopping := errors.Is(context.Cause(placing), errStopping)
 	end()
 	waited := time.Since(asked)
@@ -138,7 +143,9 @@
 	}
 	result := Result{Reason: failed.Reason}
 	if ctx.Err() == nil && failed.Server != nil {
-		result.Failed, result.Down = failed.Server, failed.Down
+		if !failed.Unfit {
+			result.Failed, result.Down = failed.Server, failed.Down
+		}
 		c.avoid = append(c.avoid, failed.Server.ID)
 		if failed.Lost {
 			c.Quarantine.Lost(failed.Server, c.content, Progress{Prefill: failed.Server == place.Prefill, Flowed: c.flowed()})
@@ -264,10 +271,13 @@
 // run sends the request to the placement's servers and relays the answer.
 func (c *call) run(ctx context.Context, place *Placement) *AttemptError {
 	c.attemptBegan = time.Time{}
-	options := RunOptions{After: c.lastEventID, Fetch: place.Fetch}
 	if failed := c.quarantined(); failed != nil {
 		return failed
 	}
+	if failed := c.checkVersion(ctx, place); failed != nil {
+		return failed
+	}
+	options := RunOptions{After: c.lastEventID, Fetch: place.Fetch}
 	if place.Prefill != nil {
 		handle, failed := c.prefill(ctx, place)
 		if failed != nil {
@@ -362,6 +372,8 @@
 		if !c.started {
 			c.started = true
 			c.markFirstByte()
+			c.bindVersion(place)
+			c.countTakeUp(takeUpWentOn)
 			if err := c.answer.Start(reply.Status(), reply.Header()); err != nil {
 				return clientWriteError(err)
 			}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -50,6 +50,7 @@
 	// byVersion makes Place skip the servers of versions that were not asked for.
 	byVersion bool
 	skipped   int
+	fetch     *registry.Server
 	// lastEvent and resumes belong to the request.
 	lastEvent, resumes string
 	// beganAt holds the versions at which streams began, by request, and unconfirmed
@@ -174,7 +175,7 @@
 	if at >= len(f.servers) {
 		return nil, &Failure{Run: backend.RunNever, Reason: "no_server", RetryAfter: time.Second}
 	}
-	p := &Placement{Server: f.servers[at]}
+	p := &Placement{Server: f.servers[at], Fetch: f.fetch}
 	if at < len(f.prefillOn) && !r.Whole {
 		p.Prefill = f.prefillOn[at]
 	}
--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -9,6 +9,7 @@
 
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/registry"
 )
 
 // The values of the label "end" in the request metrics.
@@ -28,6 +29,48 @@
 	attemptsTotal    = metrics.NewCounter("mimosakeel_dispatch_attempts_total")
 )
 
+// The values of the label "result" of the requests that take up a stream.
+const (
+	takeUpWentOn    = "went_on"
+	takeUpUnknown   = "version_unknown"
+	takeUpNoVersion = "no_server_of_version"
+	takeUpFailed    = "failed"
+)
+
+// countTakeUp counts the result of a request that takes up a stream.
+func (c *call) countTakeUp(result string) {
+	if c.binding.takesUp {
+		metrics.GetOrCreateCounter(`mimosakeel_dispatch_take_ups_total{result="` + result + `"}`).Inc()
+	}
+}
+
+// takeUpResult returns the label of a take-up that failed before its first event.
+func takeUpResult(f *Failure) string {
+	switch f.Reason {
+	case reasonVersionUnknown:
+		return takeUpUnknown
+	case ReasonNoVersion:
+		return takeUpNoVersion
+	}
+	return takeUpFailed
+}
+
+// versionFields returns log fields with the software version of a server, if there is
+// one, and with the one that is required. A request that takes up a stream names it.
+func (c *call) versionFields(server *registry.Server) []event.Field {
+	var out []event.Field
+	if server != nil {
+		out = append(out, event.F("version", server.SoftwareVersion))
+	}
+	if c.binding.bound {
+		out = append(out, event.F("required", c.binding.version))
+	}
+	if c.binding.takesUp {
+		out = append(out, event.F("resumes", c.request.Resumes))
+	}
+	return out
+}
+
 func init() {
 	for _, end := range []string{endServed, endRefused, endTimedOut, endFailed, endClientLeft} {
 		requestSeconds[end] = metrics.NewHistogram(`mimosakeel_dispatch_request_seconds{end="` + end + `"}`)
@@ -82,6 +125,7 @@
 		event.F("left", millis(time.Until(c.request.Deadline))),
 		event.F("config", strconv.FormatInt(c.request.ConfigVersion, 10)),
 	}
+	fields = append(fields, c.versionFields(place.Server)...)
 	if place.Prefill != nil {
 		fields = append(fields, event.F("prefill", place.Prefill.ID))
 	}
@@ -99,6 +143,7 @@
 		event.F("down", strconv.FormatBool(failed.Down)), event.F("sent", strconv.Itoa(c.sent)),
 		event.F("of", strconv.Itoa(c.request.Route.MaxAttempts)), event.F("events", strconv.Itoa(c.times.events)),
 	}
+	fields = append(fields, c.versionFields(failed.Server)...)
 	c.Events.Record(event.KindRequest, "retried", c.request.ID, append(fields, c.contentFields()...)...)
 }
 
@@ -149,6 +194,9 @@
 	took := time.Since(c.request.Arrived)
 	requestSeconds[endLabel(f)].Update(took.Seconds())
 	countByReason("failures", f.Reason)
+	if !c.started {
+		c.countTakeUp(takeUpResult(f))
+	}
 	fields := []event.Field{
 		event.F("route", c.request.Route.Name),
 		event.F("reason", f.Reason),
@@ -169,10 +217,13 @@
 		repeats, allowed := c.Budget.State(c.request.Service.Name)
 		fields = append(fields, event.F("repeats", strconv.Itoa(repeats)), event.F("allowed", strconv.FormatFloat(allowed, 'f', 1, 64)))
 	}
+	var server *registry.Server
 	if f.Cause != nil {
+		server = f.Cause.Server
 		fields = append(fields, event.F("server", f.Cause.server()), event.F("cause", f.Cause.Error()))
 		fields = append(fields, c.contentFields()...)
 	}
+	fields = append(fields, c.versionFields(server)...)
 	c.Events.Record(event.KindRequest, "failed", c.request.ID, append(fields, f.Inputs...)...)
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -214,6 +214,8 @@
 	Server *registry.Server
 	// Down is set if the attempt shows that the server takes no requests at all.
 	Down bool
+	// Unfit is set if the server is not at fault, but unfit for this request.
+	Unfit bool
 	// Lost is set if the connection ended after the request was written, without a
 	// complete answer.
 	Lost bool
@@ -249,7 +251,7 @@
 	Whole bool
 	// Resumed is set if the client already has the start of the answer.
 	Resumed bool
-	// Version is the software version that the servers must have; empty if any.
+	// Version is the software version that the servers must have; empty if any will do.
 	Version string
 }
 
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/gomega"
 
 	"github.com/mimosakeel/mimosakeel/backend"
@@ -117,8 +118,9 @@
 	g.Expect(f.ranAt).To(Equal([]string{"b"}))
 	g.Expect(f.placements[1].Avoid).To(Equal([]string{"a"}))
 
-	f = &fakes{servers: versioned("a=v1"), unconfirmed: map[string]bool{"v1": true}}
+	f = &fakes{servers: versioned("a=v1", "b=v1"), unconfirmed: map[string]bool{"v1": true}}
 	f.serve(draft)
+	g.Expect(f.confirmed).To(Equal([]string{"v1"}), "waits once")
 	g.Expect(f.ranAt).To(BeEmpty())
 	g.Expect(f.answer.refused.Run).To(Equal(backend.RunNever))
 }
@@ -138,3 +140,64 @@
 	g.Expect(f.lookedUp).To(BeEmpty())
 	g.Expect(f.answer.body).To(Equal("ok"))
 }
+
+// Guards against a log that doesn't tell at which version a stream began, went on or was
+// refused.
+func TestVersionsOfAStreamAreLogged(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakes{servers: versioned("a=v1", "b=v2", "c=v1"), byVersion: true, budget: 5,
+		runs: []any{brokenAfter("1"), brokenAfter("2"), streamOf("3")}}
+	f.serve(draft)
+	fields := func(names ...string) (out []string) {
+		for _, e := range f.logEvents(g) {
+			line := e.What
+			for _, name := range names {
+				line += " " + e.Field(name)
+			}
+			out = append(out, line)
+		}
+		return out
+	}
+	g.Expect(fields("version", "required")).To(Equal([]string{"placed v1 ", "retried v1 v1", "placed v1 v1", "failed v1 v1"}))
+
+	f = &fakes{lastEvent: "2", resumes: "first"}
+	f.serve(draft)
+	g.Expect(fields("reason", "resumes", "lookup")).To(Equal([]string{"failed version_unknown first not known"}))
+	f = &fakes{lastEvent: "2", resumes: "first", beganAt: map[string]string{"first": "v3"}}
+	f.serve(draft)
+	g.Expect(fields("required", "resumes")).To(Equal([]string{"failed v3 first"}))
+}
+
+// Guards against take-ups that are counted twice or not at all.
+func TestTakeUpsAreCountedByResult(t *testing.T) {
+	g := NewWithT(t)
+	known := map[string]string{"first": "v1"}
+	for want, f := range map[string]*fakes{
+		takeUpWentOn:  {servers: versioned("a=v1", "b=v1"), budget: 5, beganAt: known, runs: []any{brokenAfter("3"), streamOf("4")}},
+		takeUpUnknown: {servers: versioned("a=v1")},
+		takeUpFailed:  {servers: versioned("a=v1"), beganAt: known, runs: []any{brokenAfter()}},
+	} {
+		f.lastEvent, f.resumes = "2", "first"
+		before := takeUps(want)
+		f.serve(draft)
+		g.Expect(takeUps(want)).To(Equal(before+1), want)
+	}
+	g.Expect(takeUpResult(&Failure{Reason: ReasonNoVersion})).To(Equal(takeUpNoVersion))
+}
+
+func takeUps(result string) uint64 {
+	return metrics.GetOrCreateCounter(`mimosakeel_dispatch_take_ups_total{result="` + result + `"}`).Get()
+}
+
+// Guards against an import of KV cache that another version wrote, which a scheduler of
+// an older build may ask for, and against a server that counts as failed although it was
+// not asked.
+func TestUnfitServersAreNotBlamed(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakes{servers: versioned("b=v2", "a=v1"), fetch: versioned("c=v2")[0], lastEvent: "2", resumes: "first",
+		beganAt: map[string]string{"first": "v1"}, runs: []any{streamOf("3")}}
+	f.serve(draft)
+	g.Expect(f.ranAt).To(Equal([]string{"a"}))
+	g.Expect(f.options[0].Fetch).To(BeNil())
+	g.Expect(f.results[0].Failed).To(BeNil())
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -417,13 +417,14 @@
 	}
 	c.rolesChanged = false
 	next := &view{routable: c.routable, live: c.live, homes: c.highCapacity, pools: map[string][]poolRoute{}}
-	for _, spec := range c.pools.specs {
+	for i, spec := range c.pools.specs {
 		name := spec.Key.String()
 		next.pools[spec.Key.Model] = append(next.pools[spec.Key.Model], poolRoute{
 			name:      name,
 			scheduler: c.scheduler(name),
 			shard:     spec.Key.Shard,
 			shards:    spec.Shards,
+			versions:  c.pools.versions[i],
 		})
 	}
 	changed := schedulersDiffer(c.view.Load(), next)
@@ -517,10 +518,10 @@
 		switch {
 		case s == nil:
 			c.events.Record(event.KindConfig, "server_gone", change.ID)
-		case was != nil && was.StartedMs == s.StartedMs && was.Draining == s.Draining && was.Role == s.Role && was.Addr == s.Addr:
+		case was != nil && was.StartedMs == s.StartedMs && was.Draining == s.Draining && was.Role == s.Role && was.Addr == s.Addr && was.SoftwareVersion == s.SoftwareVersion:
 		default:
 			c.events.Record(event.KindConfig, "server", s.ID, event.F("service", s.Service), event.F("role", string(s.Role)),
-				event.F("leaving", formatBool(s.Draining)), event.F("cheap", formatBool(s.Cheap)), event.F("domain", s.FailureDomain))
+				event.F("leaving", formatBool(s.Draining)), event.F("cheap", formatBool(s.Cheap)), event.F("domain", s.FailureDomain), event.F("version", s.SoftwareVersion))
 		}
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -221,7 +221,7 @@
 // list of servers.
 func (s scheduler) Usable(server *registry.Server) bool {
 	now := s.server(server.ID)
-	return now != nil && now.StartedMs == server.StartedMs && !now.Draining
+	return now != nil && now.StartedMs == server.StartedMs && now.SoftwareVersion == server.SoftwareVersion && !now.Draining
 }
 
 func (s scheduler) Prefilled(p *dispatch.Placement)               { s.schedulerOf(p).Prefilled(p) }
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -116,7 +117,16 @@
 		}
 		r.Avoid = append(r.Avoid, unusable)
 	}
-	return nil, noServer(g.serversFields()...)
+	return nil, noServerFor(&r, g.serversFields()...)
+}
+
+// noServerFor is noServer for a request that may require a version.
+func noServerFor(r *dispatch.PlacementRequest, inputs ...event.Field) *dispatch.Failure {
+	out := noServer(inputs...)
+	if r.Version != "" {
+		out.Reason = dispatch.ReasonNoVersion
+	}
+	return out
 }
 
 func noServer(inputs ...event.Field) *dispatch.Failure {
@@ -128,7 +138,7 @@
 	request := poolRequest(id, g.vm, g.domain, r)
 	route, ok := g.route(r.Request.Service.Name, &request)
 	if !ok {
-		return nil, "", noServer(g.serversFields()...)
+		return nil, "", noServerFor(&r, g.serversFields()...)
 	}
 	scheduler, reply, err := g.requestGrant(ctx, route, request)
 	if err != nil {
@@ -136,7 +146,7 @@
 	}
 	if reply.Kind == schedule.ReplyRefused {
 		grantsRefused.Inc()
-		return nil, "", refusal(reply.Refused, g.decisionFields(route, scheduler))
+		return nil, "", refusal(&r, reply.Refused, g.decisionFields(route, scheduler))
 	}
 	t := &ticket{pool: route.name, scheduler: scheduler, id: reply.Granted.Ticket, granted: time.Now()}
 	place, unusable = g.placement(t, reply.Granted)
@@ -160,12 +170,15 @@
 }
 
 // route returns the pool of a request. Requests that share a prefix go to the
-// same pool.
+// same pool, unless it has no server of the required version.
 func (g *grantClient) route(service string, request *pool.Request) (poolRoute, bool) {
 	routes := g.view().pools[service]
 	if len(routes) == 0 {
 		return poolRoute{}, false
 	}
+	if request.Version != "" {
+		return routeOfVersion(routes, request)
+	}
 	shard := 0
 	if shards := routes[0].shards; shards > 1 {
 		shard = pool.ShardFor(request, shards)
@@ -178,6 +191,26 @@
 	return poolRoute{}, false
 }
 
+// routeOfVersion returns the pool of a request among those that have a server of its
+// version.
+func routeOfVersion(routes []poolRoute, request *pool.Request) (poolRoute, bool) {
+	var having []poolRoute
+	home := pool.ShardFor(request, routes[0].shards)
+	for _, r := range routes {
+		if !slices.ContainsFunc(r.versions[request.Version], func(id string) bool { return !slices.Contains(request.Avoid, id) }) {
+			continue
+		}
+		if r.shard == home {
+			return r, true
+		}
+		having = append(having, r)
+	}
+	if len(having) == 0 {
+		return poolRoute{}, false
+	}
+	return having[pool.ShardFor(request, len(having))], true
+}
+
 // requestGrant returns a grant or a refusal from the pool's scheduler, or from the
 // scheduler of this daemon if that one doesn't answer in time. A request whose
 // scheduler leaves or ends is placed by the next one. It also returns the VM that
@@ -406,7 +439,11 @@
 }
 
 // refusal converts a pool's refusal into a failure of the request.
-func refusal(r pool.Refused, inputs []event.Field) *dispatch.Failure {
+func refusal(request *dispatch.PlacementRequest, r pool.Refused, inputs []event.Field) *dispatch.Failure {
 	inputs = append(inputs, event.F("queued", strconv.Itoa(r.Queued)), event.F("engines", strconv.Itoa(r.Runners)))
-	return &dispatch.Failure{Run: backend.RunNever, Reason: "pool_" + string(r.Reason), RetryAfter: r.RetryAfter, Inputs: inputs}
+	reason := "pool_" + string(r.Reason)
+	if request.Version != "" && r.Reason == pool.ReasonNoRunner {
+		reason = dispatch.ReasonNoVersion
+	}
+	return &dispatch.Failure{Run: backend.RunNever, Reason: reason, RetryAfter: r.RetryAfter, Inputs: inputs}
 }
--- a/edge/plain.go
+++ b/edge/plain.go
@@ -82,7 +82,7 @@
 	left := compare.sample
 	for i := range servers {
 		server := servers[(compare.first+i)%len(servers)]
-		if server.Draining || slices.Contains(r.Avoid, server.ID) {
+		if server.Draining || slices.Contains(r.Avoid, server.ID) || r.Version != "" && server.SoftwareVersion != r.Version {
 			continue
 		}
 		if wait := p.stateOf(server.ID).limit.Wait(now); wait > 0 {
@@ -102,7 +102,7 @@
 		return nil, &dispatch.Failure{Run: backend.RunNever, Reason: "server_limits", RetryAfter: limitWait, Inputs: p.serversFields()}
 	}
 	if best.server == nil {
-		return nil, noServer(p.serversFields()...)
+		return nil, noServerFor(&r, p.serversFields()...)
 	}
 	state := p.stateOf(best.server.ID)
 	inputs := append(p.serversFields(), event.F("open", formatInt(int64(state.open))),
--- a/edge/pools.go
+++ b/edge/pools.go
@@ -88,8 +88,10 @@
 	catalog    *catalog.Catalog
 	view       *serverView
 	services   map[string]*servicePools
-	// specs are the pools of all services that have engines.
-	specs []schedule.PoolSpec
+	// specs are the pools of all services that have engines. versions holds the IDs of
+	// the engines of each pool that can take streams, by software version.
+	specs    []schedule.PoolSpec
+	versions []map[string][]string
 }
 
 // servicePools are the pools of one service.
@@ -106,6 +108,8 @@
 	spec     schedule.PoolSpec
 	servers  []*registry.Server
 	changing []bool
+	// versions holds the IDs of those that can take streams, by software version.
+	versions map[string][]string
 }
 
 func newPoolTable() *poolTable {
@@ -121,7 +125,7 @@
 	if cat != t.catalog {
 		clear(t.services)
 	}
-	t.catalog, t.view, t.specs = cat, view, nil
+	t.catalog, t.view, t.specs, t.versions = cat, view, nil, nil
 	for _, name := range slices.Sorted(maps.Keys(view.services)) {
 		service := cat.Service(name)
 		if service == nil || service.Engine == nil {
@@ -135,6 +139,7 @@
 		p.update(service, view.ofService(name), isChanging)
 		for i := range p.pools {
 			t.specs = append(t.specs, p.pools[i].spec)
+			t.versions = append(t.versions, p.pools[i].versions)
 		}
 	}
 	return true
@@ -160,6 +165,7 @@
 		e.spec.Unchanged = e.set(shard, byID, isChanging) && e.spec.Runners != nil
 		if !e.spec.Unchanged {
 			e.spec.Runners = e.runners(p.memory)
+			e.versions = e.streamVersions()
 		}
 	}
 }
@@ -189,10 +195,21 @@
 	return out
 }
 
+func (e *engines) streamVersions() map[string][]string {
+	out := map[string][]string{}
+	for i, s := range e.servers {
+		if !s.Draining && !e.changing[i] && s.Role != backend.RolePrefill {
+			out[s.SoftwareVersion] = append(out[s.SoftwareVersion], s.ID)
+		}
+	}
+	return out
+}
+
 func runnerInfo(s *registry.Server, memory int) pool.RunnerInfo {
 	info := pool.RunnerInfo{
 		ID:            s.ID,
 		FailureDomain: s.FailureDomain,
+		Version:       s.SoftwareVersion,
 		Role:          s.Role,
 		Class:         hosting.ClassOnDemand,
 		State:         hosting.ServerLive,
@@ -224,6 +241,7 @@
 		Whole:         n.Whole,
 		Deadline:      r.Deadline,
 		Rank:          r.Priority,
+		Version:       n.Version,
 	}
 	if r.Route != nil && r.Route.Objective > 0 && !r.Arrived.IsZero() {
 		request.Objective = r.Arrived.Add(r.Route.Objective)
--- a/event/explain.go
+++ b/event/explain.go
@@ -195,6 +195,11 @@
 	"pool_overloaded": "too many requests waited in the pool",
 	"pool_no_runner":  "the pool had no engine that takes work",
 	"pool_impossible": "no engine can serve the request, whatever the load",
+
+	"no_server_of_version":  "no usable server had the software version at which the stream began",
+	"version_unknown":       "it was not known at which software version the stream began that the client took up",
+	"version_not_confirmed": "the store had not confirmed the software version of the chosen server",
+	"other_version":         "the chosen server had another software version than the one at which the stream began",
 }
 
 // Cause returns the result of the request and its cause in one sentence.
--- a/pool/admit.go
+++ b/pool/admit.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/mimosakeel/mimosakeel/hosting"
 )
 
 const (
@@ -143,7 +145,7 @@
 		if fit.tooSmall {
 			return ReasonImpossible, 0
 		}
-		return ReasonNoRunner, p.cfg.NoRunnerRetry
+		return ReasonNoRunner, p.noRunnerRetry(&w.request)
 	}
 	w.setUrgency(now, fit.idleFirstToken)
 	wait := p.queueWait(now, c, w, fit.runners)
@@ -311,6 +313,7 @@
 		}, p.recycle)
 		return
 	}
+	p.refuseWithoutVersion(now)
 	if !p.cfg.Refusal {
 		return
 	}
@@ -323,6 +326,34 @@
 	}, p.recycle)
 }
 
+// refuseWithoutVersion refuses waiting requests whose version no runner has any longer.
+func (p *Pool) refuseWithoutVersion(now time.Time) {
+	p.queue.removeIf(func(w *waitingRequest) bool {
+		if w.request.Version == "" || p.anyRunnerOfVersion(now, &w.request) {
+			return false
+		}
+		p.refuse(w, ReasonNoRunner, p.noRunnerRetry(&w.request))
+		return true
+	}, p.recycle)
+}
+
+// anyRunnerOfVersion reports whether a runner of the request's version takes new work.
+func (p *Pool) anyRunnerOfVersion(now time.Time, req *Request) bool {
+	return slices.ContainsFunc(p.runners[:], func(r *runner) bool {
+		return r != nil && r.info.Version == req.Version && r.up(now, &p.cfg) && !r.info.Changing &&
+			r.info.State == hosting.ServerLive && StageDecode.allowsRole(r.info.Role, &p.cfg) && !slices.Contains(req.Avoid, r.info.ID)
+	})
+}
+
+// noRunnerRetry returns the Retry-After value of a request that no runner can take. A
+// runner of a required version is not replaced, but one that is down may come back.
+func (p *Pool) noRunnerRetry(req *Request) time.Duration {
+	if req.Version != "" && p.cfg.DownFor > 0 {
+		return min(p.cfg.DownFor, p.cfg.NoRunnerRetry)
+	}
+	return p.cfg.NoRunnerRetry
+}
+
 // anyRunnerAvailable reports whether any runner takes new work.
 func (p *Pool) anyRunnerAvailable(now time.Time) bool {
 	v := p.view(now, &p.probeRequest, StageWhole, false)
--- a/pool/baseline.go
+++ b/pool/baseline.go
@@ -2,7 +2,7 @@
 
 // The baselines run the same pool with other plugins, so that a comparison
 // differs in the placement decision only. They keep the filters that correctness
-// needs (runners that are up and have the role, the adapter and the memory) and
+// needs (runners that are up and have the role, the adapter, the version and the memory) and
 // place every request at once.
 
 // baseline returns a configuration with all mechanisms off.
@@ -11,7 +11,7 @@
 	cfg.Switches = Switches{}
 	cfg.Policy = Policy{
 		Name:    name,
-		Filters: []Filter{FilterUp{}, FilterRole{}, FilterAdapter{}, FilterAvoid{}, FilterMemory{}},
+		Filters: []Filter{FilterUp{}, FilterRole{}, FilterAdapter{}, FilterAvoid{}, FilterVersion{}, FilterMemory{}},
 		Scorers: scorers,
 		Picker:  picker,
 	}
--- a/pool/collect.go
+++ b/pool/collect.go
@@ -151,8 +151,8 @@
 // a known time, its streams are asked to move.
 func (p *Pool) updateRunner(now time.Time, r *runner, info *RunnerInfo) {
 	changed := !r.info.LeaveAt.Equal(info.LeaveAt) || r.info.State != info.State
-	if info.Role != r.info.Role && r.info.Role != "" {
-		// A role change empties the engine's cache.
+	if info.Role != r.info.Role && r.info.Role != "" || info.Version != r.info.Version {
+		// A change of the role or of the software empties the engine's cache.
 		p.prefixes.removeRunner(r.slot)
 	}
 	if !r.listed {
--- a/pool/place.go
+++ b/pool/place.go
@@ -270,8 +270,8 @@
 	return false
 }
 
-// kvSource returns the runner with the longest cached prefix whose import is
-// faster than its prefill on the target, nil if there is none, and the number
+// kvSource returns the runner of the target's version with the longest cached prefix
+// whose import is faster than its prefill on the target, nil if there is none, and the number
 // of cached prompt tokens after the import.
 func (p *Pool) kvSource(now time.Time, w *waitingRequest, target *Candidate) (*runner, int) {
 	if !p.cfg.Transfer || !p.cfg.PrefixAffinity {
@@ -280,7 +280,7 @@
 	var best *runner
 	cached := target.Cached
 	for _, r := range p.runners {
-		if r == nil || r.slot == target.Slot || !r.up(now, &p.cfg) {
+		if r == nil || r.slot == target.Slot || r.info.Version != target.Info.Version || !r.up(now, &p.cfg) {
 			continue
 		}
 		have := min(w.request.prefixTokens(p.prefixMatches[r.slot]), w.prompt-1)
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -112,7 +112,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Name:    "own",
-		Filters: []Filter{FilterUp{}, FilterRole{}, FilterAdapter{}, FilterAvoid{}, FilterMemory{}, FilterLimit{}, FilterBounds{}},
+		Filters: []Filter{FilterUp{}, FilterRole{}, FilterAdapter{}, FilterAvoid{}, FilterVersion{}, FilterMemory{}, FilterLimit{}, FilterBounds{}},
 		Scorers: []Scorer{ScoreWait{}, ScorePrefix{}, ScoreStreams{}, ScoreClass{}, ScoreDomain{}, ScoreInterference{}},
 		Picker:  PickLowest{},
 	}
