edge: any daemon knows at which software version a stream began

A daemon that had just started knew no stream, and clients that took one up after all daemons were killed were answered at any version or, since streams are bound to one, refused. The daemon now keeps the versions in the store through package versionpin.

--- a/edge/control.go
+++ b/edge/control.go
@@ -16,6 +16,7 @@
 	"github.com/mimosakeel/mimosakeel/pool"
 	"github.com/mimosakeel/mimosakeel/registry"
 	"github.com/mimosakeel/mimosakeel/schedule"
+	"github.com/mimosakeel/mimosakeel/versionpin"
 )
 
 const (
@@ -77,6 +78,10 @@
 	fleet            *fleetControl
 	quarantine       *quarantineControl
 	customerLimits   *customerLimits
+	// setServing passes on the versions that servers have, and was last called at
+	// servingAt.
+	setServing func(serving map[versionpin.Version]bool, longestStream time.Duration, fresh bool)
+	servingAt  time.Time
 	// limitPlain applies the limit of a plain server.
 	limitPlain func(server string, limit float64, limited bool)
 	// plainTold holds the limits of plain servers that other daemons were told.
@@ -148,6 +153,7 @@
 		leaving:     map[string]string{},
 		plainTold:   map[string]namedLimit{},
 		limitPlain:  func(string, float64, bool) {},
+		setServing:  func(map[versionpin.Version]bool, time.Duration, bool) {},
 
 		workTick:          func(time.Time) {},
 		workReported:      func(string, *WorkReport) {},
@@ -219,6 +225,9 @@
 		c.rolesChanged = true
 	}
 	c.dirty = c.dirty || c.rolesChanged || c.registry.Changed(now)
+	if now.Sub(c.servingAt) >= servingInterval {
+		c.publishServing(now)
+	}
 }
 
 func (c *control) handle(now time.Time, ev any) {
@@ -411,6 +420,7 @@
 	if changes := c.registry.TakeChanges(now); len(changes) > 0 {
 		c.logServerChanges(changes)
 		c.servers.Store(c.servers.Load().with(changes))
+		c.publishServing(now)
 	}
 	if c.pools.update(c.catalog.Load(), c.servers.Load(), c.rolesChanged, c.isChangingRole) {
 		c.host.Update(now, c.pools.specs, func(pool.Key) bool { return true })
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/mimosakeel/mimosakeel/registry"
 	"github.com/mimosakeel/mimosakeel/replica"
 	"github.com/mimosakeel/mimosakeel/schedule"
+	"github.com/mimosakeel/mimosakeel/versionpin"
 )
 
 // Source names the topics of the store and decodes the records of the platform.
@@ -41,6 +42,8 @@
 	MemberTopic hosting.Topic
 	// QuarantineTopic holds the parts of prompts that crash servers.
 	QuarantineTopic hosting.Topic
+	// VersionTopic and StreamTopic hold the software versions of servers and of streams.
+	VersionTopic, StreamTopic hosting.Topic
 	// LeaseTopic holds the lease that selects the daemon that reports usage and
 	// orders servers, and the decisions of its holders.
 	LeaseTopic hosting.Topic
@@ -68,6 +71,7 @@
 	control    *control
 	grants     *grantClient
 	plain      *plainScheduler
+	versions   *versionpin.Pins
 	dispatcher *dispatch.Dispatcher
 	node       *peer.Node
 	outboxes   *peer.Outboxes
@@ -133,12 +137,14 @@
 	d.plain.serversFields = d.control.serversReplica.fields
 	d.control.schedulerLeft = d.grants.schedulerLeft
 	d.budget = newRetryBudget(s.Retry, d.retryShares)
+	d.versions = d.newVersionPins()
+	d.control.setServing = d.versions.SetServing
 	d.dispatcher = &dispatch.Dispatcher{
 		Scheduler:  scheduler{engines: d.grants, plain: d.plain, server: d.server},
 		Backends:   cfg.Backends,
 		Budget:     d.budget,
 		Quarantine: guard,
-		Versions:   newVersionPins(),
+		Versions:   d.versions,
 		Usage:      d,
 		Events:     cfg.Events,
 		Shutdown:   dispatch.NewShutdown(),
@@ -333,6 +339,7 @@
 	}
 	d.control.duties.ctx = work
 	d.control.quarantine.put = func(r hosting.KeyedRecord) { go d.putQuarantine(work, r) }
+	go d.versions.Run(work)
 	go d.control.run(work)
 	for _, f := range d.control.feeds {
 		go f.follower.run(work)
--- a/edge/version_pins.go
+++ b/edge/version_pins.go
@@ -1,50 +1,52 @@
 package edge
 
 import (
-	"context"
-	"sync"
+	"time"
 
-	"github.com/rotisserie/eris"
+	"github.com/mimosakeel/mimosakeel/catalog"
+	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/versionpin"
 )
 
-// maxVersionPins bounds the streams that versionPins remembers.
-const maxVersionPins = 1 << 16
-
-// versionPins remembers the versions of the streams that began at this process. It
-// implements dispatch.VersionPins.
-type versionPins struct {
-	mu sync.Mutex
-	// recent replaces older when it holds half of the bound.
-	recent, older map[pinnedStream]string
+// servingInterval is the maximum time between two calls of setServing.
+const servingInterval = time.Second
+
+func (d *Daemon) newVersionPins() *versionpin.Pins {
+	return versionpin.New(versionpin.Config{
+		Topics:       d.Topics,
+		VersionTopic: d.Source.VersionTopic,
+		StreamTopic:  d.Source.StreamTopic,
+		VM:           d.Settings.VM,
+		Events:       d.Events,
+		Daemons:      func() int { return len(d.control.memberTable.load()) },
+	})
 }
 
-// pinnedStream identifies a stream by its service and the request that began it.
-type pinnedStream struct{ service, request string }
-
-func newVersionPins() *versionPins { return &versionPins{recent: map[pinnedStream]string{}} }
-
-// Confirm implements dispatch.VersionPins. This process asks no store.
-func (p *versionPins) Confirm(context.Context, string, string) error { return nil }
-
-// Pin implements dispatch.VersionPins.
-func (p *versionPins) Pin(service, request, version string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.recent) >= maxVersionPins/2 {
-		p.recent, p.older = map[pinnedStream]string{}, p.recent
+// publishServing passes on the versions at which streams may begin, and the longest time
+// that a stream may take.
+func (c *control) publishServing(now time.Time) {
+	cat := c.catalog.Load()
+	if cat == nil || c.feeds[feedServers].replica.End() == hosting.NoOffset {
+		return
 	}
-	p.recent[pinnedStream{service, request}] = version
-}
-
-// Lookup implements dispatch.VersionPins.
-func (p *versionPins) Lookup(_ context.Context, service, request string) (string, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	stream := pinnedStream{service, request}
-	for _, versions := range []map[pinnedStream]string{p.recent, p.older} {
-		if version, ok := versions[stream]; ok {
-			return version, nil
+	c.servingAt = now
+	services := map[string]bool{}
+	longest := time.Duration(0)
+	cat.Routes(func(r *catalog.Route) {
+		if r.Kind != catalog.KindStreaming || !r.Resumable {
+			return
+		}
+		longest = max(longest, r.Timeout)
+		for _, share := range r.Shares {
+			services[share.Service] = true
+		}
+	})
+	serving := map[versionpin.Version]bool{}
+	view := c.servers.Load()
+	for service := range services {
+		for _, s := range view.ofService(service) {
+			serving[versionpin.Version{Service: service, Name: s.SoftwareVersion}] = true
 		}
 	}
-	return "", eris.Errorf("no stream of service %q is known that request %q began", service, request)
+	c.setServing(serving, longest, !c.storeUnavailable)
 }
--- a/edge/version_test.go
+++ b/edge/version_test.go
@@ -142,22 +142,3 @@
 	listed = &registry.Server{ID: "a", SoftwareVersion: "v2"}
 	g.Expect(s.Usable(placed)).To(BeFalse())
 }
-
-// Guards against a version that is guessed for a stream of another daemon.
-func TestOnlyStreamsOfThisProcessAreKnown(t *testing.T) {
-	g := NewWithT(t)
-	pins := newVersionPins()
-	g.Expect(pins.Confirm(t.Context(), "llm", "v1")).To(Succeed())
-	pins.Pin("llm", "r1", "v1")
-	g.Expect(pins.Lookup(t.Context(), "llm", "r1")).To(Equal("v1"))
-	for _, request := range []string{"r2", ""} {
-		_, err := pins.Lookup(t.Context(), "llm", request)
-		g.Expect(err).To(HaveOccurred())
-	}
-	_, err := pins.Lookup(t.Context(), "other", "r1")
-	g.Expect(err).To(HaveOccurred())
-	for i := range 2 * maxVersionPins {
-		pins.Pin("llm", fmt.Sprint(i), "v2")
-	}
-	g.Expect(len(pins.recent) + len(pins.older)).To(BeNumerically("<=", maxVersionPins))
-}
--- a/versionpin/pins.go
+++ b/versionpin/pins.go
@@ -78,8 +78,6 @@
 	// streamsEnd is the offset up to which the topic of streams was read.
 	streamsEnd int64
 	confirming map[Version]*confirmation
-	serving    map[Version]bool
-	fresh      bool
 }
 
 // confirmation is a confirmation in progress.
@@ -111,20 +109,14 @@
 	running.Wait()
 }
 
-// SetServing sets the versions that servers have. fresh is set if the list of servers
-// is known to be up to date.
-func (p *Pins) SetServing(serving map[Version]bool, fresh bool) {
-	p.mu.Lock()
-	p.serving, p.fresh = serving, fresh
-	p.mu.Unlock()
-	p.changeVersions(func(now time.Time) { p.versions.SetServing(now, serving, fresh) })
-}
-
-// SetLongestStream sets the longest time that a stream may take.
-func (p *Pins) SetLongestStream(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.versions.LongestStream, p.streams.LongestStream = d, d
+// SetServing sets the versions that servers have and the longest time that a stream may
+// take. fresh is set if the list of servers is known to be up to date. It is to be called
+// at least once a second.
+func (p *Pins) SetServing(serving map[Version]bool, longestStream time.Duration, fresh bool) {
+	p.changeVersions(func(now time.Time) {
+		p.versions.LongestStream, p.streams.LongestStream = longestStream, longestStream
+		p.versions.SetServing(now, serving, fresh)
+	})
 }
 
 // confirmServing confirms the versions of servers in the background.
@@ -244,13 +236,6 @@
 // tick makes the changes that are due. Each daemon takes its turn at random, so that
 // they seldom conflict.
 func (p *Pins) tick(ctx context.Context) {
-	p.mu.Lock()
-	serving, fresh := p.serving, p.fresh
-	p.mu.Unlock()
-	if serving == nil {
-		return
-	}
-	p.changeVersions(func(now time.Time) { p.versions.SetServing(now, serving, fresh) })
 	p.mu.Lock()
 	due := p.versions.Due(time.Now())
 	p.mu.Unlock()
--- a/versionpin/simulation_test.go
+++ b/versionpin/simulation_test.go
@@ -89,11 +89,18 @@
 		VM: vm, Events: event.NewRecorder(hlc.New(time.Now), vm, nil, zerolog.New(io.Discard)), Daemons: func() int { return simDaemons },
 	})}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.SetLongestStream(simStream)
 	d.list = copyOf(s.serving)
-	d.SetServing(d.list, true)
 	s.daemons[i] = d
 	s.work.Go(func() { d.Run(d.ctx); d.Events.Close() })
+	s.work.Go(func() {
+		for d.ctx.Err() == nil {
+			s.mu.Lock()
+			list := d.list
+			s.mu.Unlock()
+			d.SetServing(list, simStream, true)
+			time.Sleep(time.Second)
+		}
+	})
 }
 
 func copyOf(set map[Version]bool) map[Version]bool {
@@ -161,7 +168,7 @@
 			s.mu.Lock()
 			d.list = list
 			s.mu.Unlock()
-			d.SetServing(list, true)
+			d.SetServing(list, simStream, true)
 		})
 	}
 }
--- a/versionpin/streams.go
+++ b/versionpin/streams.go
@@ -76,7 +76,7 @@
 }
 
 func (s *Streams) add(now time.Time, key streamKey, version string) *stream {
-	if len(key.request) > maxRequestID {
+	if key.request == "" || len(key.request) > maxRequestID {
 		return nil
 	}
 	if known := s.byKey[key]; known != nil {
--- a/versionpin/versions_test.go
+++ b/versionpin/versions_test.go
@@ -204,3 +204,24 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a version that is guessed for a stream that began elsewhere.
+func TestOnlyRecordedStreamsAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimulation(t, 1)
+		defer s.stop()
+		s.release()
+		time.Sleep(2 * simLag)
+		d := s.daemons[0]
+		d.Pin(simService, "r1", "v1")
+		g.Expect(d.Lookup(t.Context(), simService, "r1")).To(Equal("v1"))
+		for _, request := range []string{"r2", ""} {
+			_, err := d.Lookup(t.Context(), simService, request)
+			g.Expect(err).To(HaveOccurred())
+		}
+		_, err := d.Lookup(t.Context(), "other", "r1")
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(s.daemons[1].Lookup(t.Context(), simService, "r1")).To(Equal("v1"))
+	})
+}
