--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -76,6 +76,9 @@
 	// LastEvent is the ID of the last event that the client already has; empty if
 	// it asks for the whole stream.
 	LastEvent string
+	// Resumes is the ID of the client attempt that brought the first event of the
+	// stream that this request takes up; empty if none.
+	Resumes string
 }
 
 // Content is what requests are compared by, to find those that crash servers.
@@ -211,6 +214,8 @@
 	Server *registry.Server
 	// Down is set if the attempt shows that the server takes no requests at all.
 	Down bool
+	// Unfit is set if the server is not at fault, but unfit for this request.
+	Unfit bool
 	// Lost is set if the connection ended after the request was written, without a
 	// complete answer.
 	Lost bool
@@ -246,6 +251,8 @@
 	Whole bool
 	// Resumed is set if the client already has the start of the answer.
 	Resumed bool
+	// Version is the software version that the servers must have; empty if any will do.
+	Version string
 }
 
 // Placement assigns servers to one attempt.
--- /dev/null
+++ b/edge/version_pins.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/mimosakeel/mimosakeel/catalog"
+	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/versionpin"
+)
+
+// servingInterval is the maximum time between two calls of setServing.
+const servingInterval = time.Second
+
+func (d *Daemon) newVersionPins() *versionpin.Pins {
+	return versionpin.New(versionpin.Config{
+		Topics:       d.Topics,
+		VersionTopic: d.Source.VersionTopic,
+		StreamTopic:  d.Source.StreamTopic,
+		VM:           d.Settings.VM,
+		Events:       d.Events,
+		Daemons:      func() int { return len(d.control.memberTable.load()) },
+	})
+}
+
+// publishServing passes on the versions at which streams may begin, and the longest time
+// that a stream may take.
+func (c *control) publishServing(now time.Time) {
+	cat := c.catalog.Load()
+	if cat == nil || c.feeds[feedServers].replica.End() == hosting.NoOffset {
+		return
+	}
+	c.servingAt = now
+	services := map[string]bool{}
+	longest := time.Duration(0)
+	cat.Routes(func(r *catalog.Route) {
+		if r.Kind != catalog.KindStreaming || !r.Resumable {
+			return
+		}
+		longest = max(longest, r.Timeout)
+		for _, share := range r.Shares {
+			services[share.Service] = true
+		}
+	})
+	serving := map[versionpin.Version]bool{}
+	view := c.servers.Load()
+	for service := range services {
+		for _, s := range view.ofService(service) {
+			serving[versionpin.Version{Service: service, Name: s.SoftwareVersion}] = true
+		}
+	}
+	c.setServing(serving, longest, !c.storeUnavailable)
+}
