backend: a request is not written on a connection with unread bytes

What callers saw: a server sent an answer that no request asked for, with the answer before it or while the connection was idle. The next request on that connection was written, got this answer as its own, and failed.

Cause: net/http closes an idle connection on which bytes arrive, but not if the next request takes the connection before it has looked.

Change: the first byte of a request is written only once net/http waits for bytes and the socket holds none. Otherwise, and if bytes arrive before that first byte, the connection is closed and the request, of which nothing was written, goes out on another one. For that, requests with a body can be written anew (GetBody); the exchange already prevents a second attempt once a byte was written.

--- a/backend/call.go
+++ b/backend/call.go
@@ -106,13 +106,19 @@
 	ctx, cancel := context.WithCancel(caller)
 	x.cancel = cancel
 	req = req.WithContext(x.trace(ctx))
-	// Without GetBody net/http can't retry a request that has a body.
-	req.GetBody = nil
 	client := t.pooled
 	if x.fresh {
 		client = t.fresh
 	}
 	resp, err := client.RoundTrip(req)
+	for err == nil && x.unwritten() {
+		// The response was on the connection before the request.
+		x.abort()
+		_ = resp.Body.Close()
+		if req, err = rewind(req); err == nil {
+			resp, err = client.RoundTrip(req)
+		}
+	}
 	if err == nil {
 		return resp, cancel, nil
 	}
@@ -128,6 +134,23 @@
 	return nil, nil, &CallError{Failure: failure, Written: written, Err: err}
 }
 
+// rewind returns a copy of a request whose body may have been read.
+func rewind(req *http.Request) (*http.Request, error) {
+	if req.Body == nil || req.Body == http.NoBody {
+		return req, nil
+	}
+	if req.GetBody == nil {
+		return nil, errUnsolicited
+	}
+	body, err := req.GetBody()
+	if err != nil {
+		return nil, err
+	}
+	again := *req
+	again.Body = body
+	return &again, nil
+}
+
 // classify returns the kind of failure of an aborted exchange.
 func (x *exchange) classify(caller context.Context, err error) Failure {
 	var op *net.OpError
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -15,8 +15,12 @@
 )
 
 // errAborted is returned by writes on a connection that was closed to prevent a
-// request from reaching the backend server.
-var errAborted = eris.New("connection was aborted")
+// request from reaching the backend server. errUnsolicited is returned on a connection
+// with bytes that arrived before the request.
+var (
+	errAborted     = eris.New("connection was aborted")
+	errUnsolicited = eris.New("backend sent bytes that no request asked for")
+)
 
 // trackedConn is a connection to a backend server that counts the bytes written
 // and applies a read timeout.
@@ -28,10 +32,21 @@
 	// readTimeout is the longest time in nanoseconds without any byte from the
 	// backend; 0 means no timeout. Only a connection in use has a read timeout.
 	readTimeout atomic.Int64
-	// aborted makes all further writes fail.
+	// aborted makes all further writes fail; it is set when the connection is closed.
 	aborted atomic.Bool
 	// timedOut is set when a read exceeded the read timeout.
 	timedOut atomic.Bool
+	// requested is set from the first byte of a request to the end of its exchange.
+	// Bytes that arrive at other times belong to no request.
+	requested atomic.Bool
+	// attached is set from attach to the first byte of the request.
+	attached atomic.Bool
+
+	// readMu guards reading, which is set while net/http waits for bytes. readChanged
+	// signals its changes and aborted.
+	readMu      sync.Mutex
+	reading     bool
+	readChanged *sync.Cond
 
 	// mu is held during writes, so that abort returns a final count.
 	mu      sync.Mutex
@@ -43,9 +58,18 @@
 	writeLimit time.Duration
 }
 
+func newTrackedConn(raw net.Conn, set *connSet, addr string) *trackedConn {
+	c := &trackedConn{Conn: raw, set: set, addr: addr}
+	c.readChanged = sync.NewCond(&c.readMu)
+	return c
+}
+
 // Write writes p. Immediately before the first write of an exchange it runs the
-// check of the exchange.
+// check of the exchange. It writes nothing on a connection with unread bytes.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.attached.Load() {
+		c.awaitRead()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted.Load() {
@@ -54,6 +78,13 @@
 	if err := c.runCheck(); err != nil {
 		return 0, err
 	}
+	if c.attached.Swap(false) {
+		if c.written > 0 && unread(c.Conn) {
+			_ = c.Close()
+			return 0, errUnsolicited
+		}
+		c.requested.Store(true)
+	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
 	return n, err
@@ -79,7 +110,6 @@
 	}
 	if err != nil {
 		c.owner.checkErr = &checkError{err: err}
-		c.aborted.Store(true)
 		_ = c.Close()
 	}
 	return err
@@ -91,14 +121,46 @@
 			return 0, err
 		}
 	}
+	c.setReading(true)
 	n, err := c.Conn.Read(p)
+	c.setReading(false)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.timedOut.Store(true)
 	}
+	if n > 0 && !c.requested.Load() {
+		_ = c.Close()
+		return 0, errUnsolicited
+	}
 	return n, err
 }
 
+func (c *trackedConn) setReading(reading bool) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.reading = reading
+	c.readChanged.Broadcast()
+}
+
+// awaitRead waits until net/http reads the connection. It then holds no byte that
+// arrived before.
+func (c *trackedConn) awaitRead() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	for !c.reading && !c.aborted.Load() {
+		c.readChanged.Wait()
+	}
+}
+
+// markAborted makes all further writes fail.
+func (c *trackedConn) markAborted() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.aborted.Store(true)
+	c.readChanged.Broadcast()
+}
+
 func (c *trackedConn) Close() error {
+	c.markAborted()
 	c.set.remove(c)
 	return c.Conn.Close()
 }
@@ -106,7 +168,6 @@
 // abort closes the connection, waits for a write in progress and returns the
 // final number of bytes written.
 func (c *trackedConn) abort() int64 {
-	c.aborted.Store(true)
 	_ = c.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,6 +180,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.owner = x
+	c.requested.Store(false)
+	c.attached.Store(true)
 	c.check, c.writeLimit = x.check, x.writeLimit
 	c.setReadTimeout(readTimeout)
 	return c.written
@@ -133,6 +196,7 @@
 		return
 	}
 	c.owner = nil
+	c.requested.Store(false)
 	c.setReadTimeout(0)
 	_ = c.SetWriteDeadline(time.Time{})
 }
@@ -264,6 +328,13 @@
 	x.writtenBefore = conn.attach(x, readTimeout)
 }
 
+// unwritten reports whether no byte of the request was written.
+func (x *exchange) unwritten() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.conn != nil && !x.conn.requested.Load()
+}
+
 // release detaches the connection when net/http has completed the exchange and
 // tries to return the connection to the pool.
 func (x *exchange) release() {
@@ -338,7 +409,7 @@
 			if err != nil {
 				return nil, err
 			}
-			c := &trackedConn{Conn: raw, set: set, addr: addr}
+			c := newTrackedConn(raw, set, addr)
 			set.add(c)
 			return c, nil
 		},
--- a/backend/dial.go
+++ b/backend/dial.go
@@ -48,3 +48,23 @@
 		return dialer.DialContext(ctx, network, addr)
 	}
 }
+
+// unread reports whether the remote end has sent bytes that were not read, or has closed
+// the connection. It reports false for connections without a file descriptor.
+func unread(conn net.Conn) bool {
+	descriptor, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := descriptor.SyscallConn()
+	if err != nil {
+		return false
+	}
+	found := false
+	_ = raw.Control(func(fd uintptr) {
+		var first [1]byte
+		_, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		found = err == nil
+	})
+	return found
+}
