platform: the connection of a rejected answer gets no further request

What callers saw: after an answer without a body that belonged to another request, or that named no request, the next request was sent on the same connection, got the next wrong answer and failed as well.

Cause: net/http returns a connection to its pool before the caller has seen an answer without a body.

Change: CallOptions.Accept judges the header of an answer before another request can be written on its connection.

--- a/backend/call.go
+++ b/backend/call.go
@@ -105,6 +105,8 @@
 	caller := req.Context()
 	ctx, cancel := context.WithCancel(caller)
 	x.cancel = cancel
+	x.judged = make(chan struct{})
+	defer close(x.judged)
 	req = req.WithContext(x.trace(ctx))
 	client := t.pooled
 	if x.fresh {
@@ -113,13 +115,16 @@
 	resp, err := client.RoundTrip(req)
 	for err == nil && x.unwritten() {
 		// The response was on the connection before the request.
-		x.abort()
+		x.reject()
 		_ = resp.Body.Close()
 		if req, err = rewind(req); err == nil {
 			resp, err = client.RoundTrip(req)
 		}
 	}
 	if err == nil {
+		if x.accept != nil && !x.accept(resp) {
+			x.reject()
+		}
 		return resp, cancel, nil
 	}
 	written := x.abort()
--- a/backend/client.go
+++ b/backend/client.go
@@ -25,6 +25,9 @@
 	ReusedReadTimeout time.Duration
 	// Fresh requests a new connection that is closed after the call.
 	Fresh bool
+	// Accept reports whether the connection may be used again after this response,
+	// whose body has not been read. It may be nil.
+	Accept func(*Response) bool
 	// Check runs after the connection is established and immediately before the
 	// first byte is written; if it fails, nothing is sent. It may be nil.
 	Check func() error
@@ -50,11 +53,19 @@
 		check:             o.Check,
 		writeLimit:        o.WriteLimit,
 	}
+	out := &Response{exchange: x, ctx: req.Context()}
+	if o.Accept != nil {
+		x.accept = func(resp *http.Response) bool {
+			out.Response = resp
+			return o.Accept(out)
+		}
+	}
 	resp, cancel, err := c.transport.roundTrip(req, x)
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Response: resp, exchange: x, ctx: req.Context(), cancel: cancel}, nil
+	out.Response, out.cancel = resp, cancel
+	return out, nil
 }
 
 // SetReadTimeout changes the longest time without a byte from the server; 0 means
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -53,6 +53,8 @@
 	written int64
 	// owner is the exchange that uses the connection; nil for an idle one.
 	owner *exchange
+	// judged is closed once the response of the last exchange was judged.
+	judged <-chan struct{}
 	// check and writeLimit apply to the next write and are then reset.
 	check      func() error
 	writeLimit time.Duration
@@ -179,7 +181,7 @@
 func (c *trackedConn) attach(x *exchange, readTimeout time.Duration) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owner = x
+	c.owner, c.judged = x, x.judged
 	c.requested.Store(false)
 	c.attached.Store(true)
 	c.check, c.writeLimit = x.check, x.writeLimit
@@ -187,6 +189,17 @@
 	return c.written
 }
 
+// awaitJudged waits until the response of the last exchange was judged. net/http returns
+// a connection to its pool before the caller has seen a response without a body.
+func (c *trackedConn) awaitJudged() {
+	c.mu.Lock()
+	judged := c.judged
+	c.mu.Unlock()
+	if judged != nil {
+		<-judged
+	}
+}
+
 // detach removes the timeouts that x set, unless another exchange already owns the
 // connection.
 func (c *trackedConn) detach(x *exchange) {
@@ -250,8 +263,12 @@
 // stopped delivering data, the other open ones may have stopped as well.
 func (s *connSet) closeIdle(x *exchange) {
 	x.mu.Lock()
-	addr := x.addr
+	used := x.used
 	x.mu.Unlock()
+	if used == nil {
+		return
+	}
+	addr := used.addr
 	s.mu.Lock()
 	conns := make([]*trackedConn, 0, len(s.conns[addr]))
 	for c := range s.conns[addr] {
@@ -278,13 +295,18 @@
 	fresh      bool
 	check      func() error
 	writeLimit time.Duration
-	cancel     context.CancelFunc
+	// accept reports whether the connection may be used again after this response; nil
+	// means always.
+	accept func(*http.Response) bool
+	cancel context.CancelFunc
+	// judged is closed once accept was called or the exchange failed.
+	judged chan struct{}
 
 	mu sync.Mutex
 	// conn is the current connection; nil after release or abort.
 	conn *trackedConn
-	// addr is the address of the last connection.
-	addr string
+	// used is the last connection, also after release.
+	used *trackedConn
 	// writtenBefore is the number of bytes that earlier exchanges wrote on conn.
 	writtenBefore int64
 	wrote         bool
@@ -310,6 +332,7 @@
 	if !ok {
 		panic("backend: connection was not opened by this package's dialer")
 	}
+	conn.awaitJudged()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.abortLocked()
@@ -320,7 +343,7 @@
 		x.cancel()
 		return
 	}
-	x.conn, x.addr = conn, conn.addr
+	x.conn, x.used = conn, conn
 	readTimeout := x.readTimeout
 	if info.Reused && x.reusedReadTimeout > 0 {
 		readTimeout = x.reusedReadTimeout
@@ -328,6 +351,14 @@
 	x.writtenBefore = conn.attach(x, readTimeout)
 }
 
+// reject closes the connection, also if net/http has returned it to the pool.
+func (x *exchange) reject() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.abortLocked()
+	_ = x.used.Close()
+}
+
 // unwritten reports whether no byte of the request was written.
 func (x *exchange) unwritten() bool {
 	x.mu.Lock()
