--- a/backend/client.go
+++ b/backend/client.go
@@ -25,6 +25,9 @@
 	ReusedReadTimeout time.Duration
 	// Fresh requests a new connection that is closed after the call.
 	Fresh bool
+	// Peer names the server at the address. Calls for different peers never share a
+	// connection.
+	Peer string
 	// Accept reports whether the connection may be used again after this response,
 	// whose body has not been read. It may be nil.
 	Accept func(*Response) bool
@@ -60,6 +63,9 @@
 			return o.Accept(out)
 		}
 	}
+	if o.Peer != "" {
+		req = withPeer(req, o.Peer)
+	}
 	resp, cancel, err := c.transport.roundTrip(req, x)
 	if err != nil {
 		return nil, err
@@ -68,6 +74,10 @@
 	return out, nil
 }
 
+// FirstOnConnection reports whether the request was the first one on its connection, so
+// that no other request can have caused the response.
+func (r *Response) FirstOnConnection() bool { return r.exchange.firstOnConn() }
+
 // SetReadTimeout changes the longest time without a byte from the server; 0 means
 // no timeout.
 func (r *Response) SetReadTimeout(timeout time.Duration) { r.exchange.setReadTimeout(timeout) }
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -359,6 +359,13 @@
 	_ = x.used.Close()
 }
 
+// firstOnConn reports whether no request was written on the connection before.
+func (x *exchange) firstOnConn() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.writtenBefore == 0
+}
+
 // unwritten reports whether no byte of the request was written.
 func (x *exchange) unwritten() bool {
 	x.mu.Lock()
@@ -436,7 +443,7 @@
 		// A server may send header lines without end.
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			raw, err := dial(ctx, network, addr)
+			raw, err := dial(ctx, network, dialAddress(addr))
 			if err != nil {
 				return nil, err
 			}
--- a/backend/dial.go
+++ b/backend/dial.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -49,6 +52,39 @@
 	}
 }
 
+// withPeer returns a copy of a request whose host names the peer and the address:
+// net/http keeps the connections of each host apart.
+func withPeer(req *http.Request, peer string) *http.Request {
+	out, target := *req, *req.URL
+	if out.Host == "" {
+		out.Host = target.Host
+	}
+	target.Host = peerPrefix + hex.EncodeToString([]byte(target.Host+"/"+peer))
+	out.URL = &target
+	return &out
+}
+
+// peerPrefix begins the host of a request that withPeer returned.
+const peerPrefix = "peer-"
+
+// dialAddress returns the address to dial for the host and port of a request.
+func dialAddress(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	encoded, ok := strings.CutPrefix(host, peerPrefix)
+	if !ok {
+		return addr
+	}
+	decoded, err := hex.DecodeString(encoded)
+	if err != nil {
+		return addr
+	}
+	address, _, _ := strings.Cut(string(decoded), "/")
+	return address
+}
+
 // unread reports whether the remote end has sent bytes that were not read, or has closed
 // the connection. It reports false for connections without a file descriptor.
 func unread(conn net.Conn) bool {
