--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +13,7 @@
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/registry"
 )
 
 // UsageCounter counts the requests that began to run, by customer.
@@ -64,6 +66,8 @@
 	answer  Answer
 	// avoid holds the IDs of the servers on which attempts failed.
 	avoid []string
+	// contacted holds the addresses of the servers to which the request was sent.
+	contacted []string
 	// attempts is the number of placements.
 	attempts int
 	// sent is the number of attempts that count towards the route's limit: the
@@ -304,7 +308,7 @@
 	if c.runs > 0 && !c.Budget.Take(c.request.Service.Name) {
 		return nil, &AttemptError{Run: backend.RunNever, Reason: reasonBudget}
 	}
-	options.Left = time.Until(c.request.Deadline)
+	options.Left, options.Again = time.Until(c.request.Deadline), c.contact(place.Server)
 	reply, failed := c.Backends.Run(ctx, place.Server, c.request, options)
 	if failed != nil && !failed.Sent {
 		failed.Server = place.Server
@@ -319,12 +323,22 @@
 	return reply, nil
 }
 
+// contact records that the request is sent to a server, and reports whether it was sent to
+// the same address before.
+func (c *call) contact(server *registry.Server) bool {
+	if slices.Contains(c.contacted, server.Addr) {
+		return true
+	}
+	c.contacted = append(c.contacted, server.Addr)
+	return false
+}
+
 // prefill runs the prefill on the placement's prefill engine. Only a failed
 // prefill that was sent counts as an attempt and is charged to the retry
 // budget.
 func (c *call) prefill(ctx context.Context, place *Placement) (Handle, *AttemptError) {
 	begin := time.Now()
-	handle, failed := c.Backends.Prefill(ctx, place.Prefill, c.request, RunOptions{Fetch: place.Fetch, Left: time.Until(c.request.Deadline)})
+	handle, failed := c.Backends.Prefill(ctx, place.Prefill, c.request, RunOptions{Fetch: place.Fetch, Left: time.Until(c.request.Deadline), Again: c.contact(place.Prefill)})
 	took := time.Since(begin)
 	c.times.prefill += took
 	if failed == nil {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -342,6 +342,22 @@
 	g.Expect(f.released).To(Equal([]string{"h-p"}))
 }
 
+// Guards against a second attempt at an address that looks like the first one, so that a
+// late answer to the first one would be taken for its own.
+func TestSecondAttemptAtAddressIsMarked(t *testing.T) {
+	g := NewWithT(t)
+	p := &registry.Server{ID: "p", Addr: "10.0.0.1:80"}
+	a := &registry.Server{ID: "a", Addr: "10.0.0.1:80"}
+	b := &registry.Server{ID: "b", Addr: "10.0.0.2:80"}
+	f := &fakes{servers: []*registry.Server{b, a, b}, prefillOn: []*registry.Server{p}, budget: 5,
+		runs: []any{rejected(), rejected(), &fakeReply{status: 200, events: events("1")}}}
+	route := draft
+	route.MaxAttempts = 3
+	f.serve(route)
+	g.Expect(f.answer.finished).To(BeTrue())
+	g.Expect([]bool{f.options[0].Again, f.options[1].Again, f.options[2].Again}).To(Equal([]bool{false, true, true}))
+}
+
 // Guards against a rejected prefill that is not charged to the retry budget.
 func TestRejectedPrefillIsCharged(t *testing.T) {
 	g := NewWithT(t)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -186,6 +186,9 @@
 	After string
 	// Left is the time left until the request's deadline.
 	Left time.Duration
+	// Again is set if the request was sent to this address before. A late copy of the
+	// earlier answer would name the same request.
+	Again bool
 }
 
 // Backends sends attempts to backend servers.
