--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -99,6 +99,7 @@
 
 type fakeReply struct {
 	status int
+	header http.Header
 	body   string
 	events []Event
 	// err is returned after the last event; nil means a clean end.
@@ -107,7 +108,7 @@
 }
 
 func (r *fakeReply) Status() int           { return r.status }
-func (r *fakeReply) Header() http.Header   { return http.Header{} }
+func (r *fakeReply) Header() http.Header   { return r.header }
 func (r *fakeReply) Body() ([]byte, error) { return []byte(r.body), r.err }
 func (r *fakeReply) Close()                { r.closed = true }
 
