dispatch: only an event stream continues a stream

What callers saw: a stream had begun and broke off; the next server answered 200 with another content type, and its text was passed on in the middle of the stream.

Cause: on a streaming route, each answer with status 200 was read as events.

Change: an answer whose content type is another one is relayed as a whole: it does not continue a begun stream, and reaches the client unchanged if nothing was begun.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -286,7 +286,7 @@
 		return failed
 	}
 	defer reply.Close()
-	if c.request.Route.Kind == catalog.KindStreaming && reply.Status() == http.StatusOK {
+	if c.request.Route.Kind == catalog.KindStreaming && reply.Status() == http.StatusOK && isEventStream(reply.Header()) {
 		failed = c.relayStream(place, reply)
 	} else {
 		failed = c.relayWhole(place, reply)
