dispatch: an answer without events does not complete a begun stream

What callers saw: a stream had begun and broke off; the next server answered with an empty stream, and the client's stream ended as if it were complete.

Cause: the check for empty streams looked at the whole stream, not at the attempt.

Change: an attempt without any event has failed; another one follows where that is allowed, otherwise the connection is closed. A stream that broke off after its last event and before its end is therefore cut, too: nothing in an answer shows which event is the last.

Measured: the cases 'empty' of TestStreamGetsNothingButItsContinuation and TestClientGetsNoErrorInTheMiddleOfItsStream failed and hold now.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -399,9 +399,10 @@
 	c.Scheduler.Started(place)
 }
 
-// finishStream completes a stream. A stream without events is a failure.
+// finishStream completes a stream. An attempt without events is a failure, also for a
+// stream that was begun: nothing shows that its last event has been sent.
 func (c *call) finishStream(place *Placement, status int) *AttemptError {
-	if !c.started {
+	if c.attemptBegan.IsZero() {
 		return &AttemptError{Run: backend.RunUnknown, Reason: "empty_stream", Sent: true, Lost: true}
 	}
 	if err := c.answer.Finish(); err != nil {
