dispatch: a stream goes on only at its next event

What callers saw: a stream had begun and broke off; the next server started anew, left events out, or sent an error event without an ID. Clients found these in the middle of their stream. The same holds for streams that clients take up, and for an event that a server writes twice. A stream whose events have no IDs started anew in its middle.

Cause: the events of an answer were passed on without a look at their IDs.

Change: IDs increase within a stream, and the first event of a continuation is the next one: it has an ID, and leaves no number out unless a server of this stream did so before. Otherwise the attempt has failed ('not_resumed'). A stream is not continued behind an event without an ID. Comments pass anywhere, and don't make an attempt count as begun.

--- a/dispatch/continuation_test.go
+++ b/dispatch/continuation_test.go
@@ -134,6 +134,16 @@
 	})
 }
 
+// Guards against a stream that fails since its client named an event on a route whose
+// streams can't be continued.
+func TestLastEventOfOtherRoutesIsNoDemand(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakes{servers: servers("a"), runs: []any{&fakeReply{status: 200, events: events("1", "2")}}}
+	f.takeUp(oneShot, "2")
+	g.Expect(f.answer.events).To(HaveLen(2))
+	g.Expect(f.answer.finished).To(BeTrue())
+}
+
 // Guards against an event that a server writes twice.
 func TestRepeatedEventIsNotPassedOn(t *testing.T) {
 	g := NewWithT(t)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,6 +43,9 @@
 	defer end()
 	d.Budget.Arrived(r.Service.Name)
 	c := &call{Dispatcher: d, request: r, content: r.Content(), answer: answer, lastEventID: r.LastEvent}
+	if !r.Route.Resumable {
+		c.lastEventID = "" // The servers of other routes need not heed it.
+	}
 	if d.Shutdown.tooLate(r.Deadline) {
 		c.fail(stoppingFailure(backend.RunNever))
 		return
@@ -91,6 +94,7 @@
 	started bool
 	// lastEventID is the ID of the last event that the client has received.
 	lastEventID string
+	sequence    eventSequence
 	times       requestTimes
 }
 
@@ -251,7 +255,7 @@
 		return false
 	}
 	if c.started {
-		return route.Resumable
+		return route.Resumable && !c.sequence.unnumbered
 	}
 	return run == backend.RunNever || route.Repeatable()
 }
@@ -267,6 +271,7 @@
 // run sends the request to the placement's servers and relays the answer.
 func (c *call) run(ctx context.Context, place *Placement) *AttemptError {
 	c.attemptBegan = time.Time{}
+	c.sequence.delivered = false
 	options := RunOptions{After: c.lastEventID, Fetch: place.Fetch}
 	if failed := c.quarantined(); failed != nil {
 		return failed
@@ -369,6 +374,9 @@
 			return replyError(err)
 		}
 		c.markBegun(place)
+		if !c.sequence.accept(c.lastEventID, ev) {
+			return &AttemptError{Run: backend.RunUnknown, Reason: "not_resumed", Sent: true, Err: eris.Errorf("event %q does not follow event %q", ev.ID, c.lastEventID)}
+		}
 		if c.attemptBegan.IsZero() {
 			c.attemptBegan = time.Now()
 		}
@@ -402,7 +410,7 @@
 // finishStream completes a stream. An attempt without events is a failure, also for a
 // stream that was begun: nothing shows that its last event has been sent.
 func (c *call) finishStream(place *Placement, status int) *AttemptError {
-	if c.attemptBegan.IsZero() {
+	if !c.sequence.delivered {
 		return &AttemptError{Run: backend.RunUnknown, Reason: "empty_stream", Sent: true, Lost: true}
 	}
 	if err := c.answer.Finish(); err != nil {
