--- a/backend/call.go
+++ b/backend/call.go
@@ -105,15 +105,26 @@
 	caller := req.Context()
 	ctx, cancel := context.WithCancel(caller)
 	x.cancel = cancel
+	x.judged = make(chan struct{})
+	defer close(x.judged)
 	req = req.WithContext(x.trace(ctx))
-	// Without GetBody net/http can't retry a request that has a body.
-	req.GetBody = nil
 	client := t.pooled
 	if x.fresh {
 		client = t.fresh
 	}
 	resp, err := client.RoundTrip(req)
+	for err == nil && x.unwritten() {
+		// The response was on the connection before the request.
+		x.reject()
+		_ = resp.Body.Close()
+		if req, err = rewind(req); err == nil {
+			resp, err = client.RoundTrip(req)
+		}
+	}
 	if err == nil {
+		if x.accept != nil && !x.accept(resp) {
+			x.reject()
+		}
 		return resp, cancel, nil
 	}
 	written := x.abort()
@@ -128,6 +139,23 @@
 	return nil, nil, &CallError{Failure: failure, Written: written, Err: err}
 }
 
+// rewind returns a copy of a request whose body may have been read.
+func rewind(req *http.Request) (*http.Request, error) {
+	if req.Body == nil || req.Body == http.NoBody {
+		return req, nil
+	}
+	if req.GetBody == nil {
+		return nil, errUnsolicited
+	}
+	body, err := req.GetBody()
+	if err != nil {
+		return nil, err
+	}
+	again := *req
+	again.Body = body
+	return &again, nil
+}
+
 // classify returns the kind of failure of an aborted exchange.
 func (x *exchange) classify(caller context.Context, err error) Failure {
 	var op *net.OpError
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -15,8 +15,12 @@
 )
 
 // errAborted is returned by writes on a connection that was closed to prevent a
-// request from reaching the backend server.
-var errAborted = eris.New("connection was aborted")
+// request from reaching the backend server. errUnsolicited is returned on a connection
+// with bytes that arrived before the request.
+var (
+	errAborted     = eris.New("connection was aborted")
+	errUnsolicited = eris.New("backend sent bytes that no request asked for")
+)
 
 // trackedConn is a connection to a backend server that counts the bytes written
 // and applies a read timeout.
@@ -28,24 +32,46 @@
 	// readTimeout is the longest time in nanoseconds without any byte from the
 	// backend; 0 means no timeout. Only a connection in use has a read timeout.
 	readTimeout atomic.Int64
-	// aborted makes all further writes fail.
+	// aborted makes all further writes fail; it is set when the connection is closed.
 	aborted atomic.Bool
 	// timedOut is set when a read exceeded the read timeout.
 	timedOut atomic.Bool
+	// requested is set from the first byte of a request to the end of its exchange.
+	// Bytes that arrive at other times belong to no request.
+	requested atomic.Bool
+	// attached is set from attach to the first byte of the request.
+	attached atomic.Bool
+
+	// readMu guards reading, which is set while net/http waits for bytes. readChanged
+	// signals its changes and aborted.
+	readMu      sync.Mutex
+	reading     bool
+	readChanged *sync.Cond
 
 	// mu is held during writes, so that abort returns a final count.
 	mu      sync.Mutex
 	written int64
 	// owner is the exchange that uses the connection; nil for an idle one.
 	owner *exchange
+	// judged is closed once the response of the last exchange was judged.
+	judged <-chan struct{}
 	// check and writeLimit apply to the next write and are then reset.
 	check      func() error
 	writeLimit time.Duration
 }
 
+func newTrackedConn(raw net.Conn, set *connSet, addr string) *trackedConn {
+	c := &trackedConn{Conn: raw, set: set, addr: addr}
+	c.readChanged = sync.NewCond(&c.readMu)
+	return c
+}
+
 // Write writes p. Immediately before the first write of an exchange it runs the
-// check of the exchange.
+// check of the exchange. It writes nothing on a connection with unread bytes.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.attached.Load() {
+		c.awaitRead()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted.Load() {
@@ -54,6 +80,13 @@
 	if err := c.runCheck(); err != nil {
 		return 0, err
 	}
+	if c.attached.Swap(false) {
+		if c.written > 0 && unread(c.Conn) {
+			_ = c.Close()
+			return 0, errUnsolicited
+		}
+		c.requested.Store(true)
+	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
 	return n, err
@@ -79,7 +112,6 @@
 	}
 	if err != nil {
 		c.owner.checkErr = &checkError{err: err}
-		c.aborted.Store(true)
 		_ = c.Close()
 	}
 	return err
@@ -91,14 +123,46 @@
 			return 0, err
 		}
 	}
+	c.setReading(true)
 	n, err := c.Conn.Read(p)
+	c.setReading(false)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.timedOut.Store(true)
 	}
+	if n > 0 && !c.requested.Load() {
+		_ = c.Close()
+		return 0, errUnsolicited
+	}
 	return n, err
 }
 
+func (c *trackedConn) setReading(reading bool) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.reading = reading
+	c.readChanged.Broadcast()
+}
+
+// awaitRead waits until net/http reads the connection. It then holds no byte that
+// arrived before.
+func (c *trackedConn) awaitRead() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	for !c.reading && !c.aborted.Load() {
+		c.readChanged.Wait()
+	}
+}
+
+// markAborted makes all further writes fail.
+func (c *trackedConn) markAborted() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.aborted.Store(true)
+	c.readChanged.Broadcast()
+}
+
 func (c *trackedConn) Close() error {
+	c.markAborted()
 	c.set.remove(c)
 	return c.Conn.Close()
 }
@@ -106,7 +170,6 @@
 // abort closes the connection, waits for a write in progress and returns the
 // final number of bytes written.
 func (c *trackedConn) abort() int64 {
-	c.aborted.Store(true)
 	_ = c.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,12 +181,25 @@
 func (c *trackedConn) attach(x *exchange, readTimeout time.Duration) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owner = x
+	c.owner, c.judged = x, x.judged
+	c.requested.Store(false)
+	c.attached.Store(true)
 	c.check, c.writeLimit = x.check, x.writeLimit
 	c.setReadTimeout(readTimeout)
 	return c.written
 }
 
+// awaitJudged waits until the response of the last exchange was judged. net/http returns
+// a connection to its pool before the caller has seen a response without a body.
+func (c *trackedConn) awaitJudged() {
+	c.mu.Lock()
+	judged := c.judged
+	c.mu.Unlock()
+	if judged != nil {
+		<-judged
+	}
+}
+
 // detach removes the timeouts that x set, unless another exchange already owns the
 // connection.
 func (c *trackedConn) detach(x *exchange) {
@@ -133,6 +209,7 @@
 		return
 	}
 	c.owner = nil
+	c.requested.Store(false)
 	c.setReadTimeout(0)
 	_ = c.SetWriteDeadline(time.Time{})
 }
@@ -186,8 +263,12 @@
 // stopped delivering data, the other open ones may have stopped as well.
 func (s *connSet) closeIdle(x *exchange) {
 	x.mu.Lock()
-	addr := x.addr
+	used := x.used
 	x.mu.Unlock()
+	if used == nil {
+		return
+	}
+	addr := used.addr
 	s.mu.Lock()
 	conns := make([]*trackedConn, 0, len(s.conns[addr]))
 	for c := range s.conns[addr] {
@@ -214,13 +295,18 @@
 	fresh      bool
 	check      func() error
 	writeLimit time.Duration
-	cancel     context.CancelFunc
+	// accept reports whether the connection may be used again after this response; nil
+	// means always.
+	accept func(*http.Response) bool
+	cancel context.CancelFunc
+	// judged is closed once accept was called or the exchange failed.
+	judged chan struct{}
 
 	mu sync.Mutex
 	// conn is the current connection; nil after release or abort.
 	conn *trackedConn
-	// addr is the address of the last connection.
-	addr string
+	// used is the last connection, also after release.
+	used *trackedConn
 	// writtenBefore is the number of bytes that earlier exchanges wrote on conn.
 	writtenBefore int64
 	wrote         bool
@@ -246,6 +332,7 @@
 	if !ok {
 		panic("backend: connection was not opened by this package's dialer")
 	}
+	conn.awaitJudged()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.abortLocked()
@@ -256,7 +343,7 @@
 		x.cancel()
 		return
 	}
-	x.conn, x.addr = conn, conn.addr
+	x.conn, x.used = conn, conn
 	readTimeout := x.readTimeout
 	if info.Reused && x.reusedReadTimeout > 0 {
 		readTimeout = x.reusedReadTimeout
@@ -264,6 +351,28 @@
 	x.writtenBefore = conn.attach(x, readTimeout)
 }
 
+// reject closes the connection, also if net/http has returned it to the pool.
+func (x *exchange) reject() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.abortLocked()
+	_ = x.used.Close()
+}
+
+// firstOnConn reports whether no request was written on the connection before.
+func (x *exchange) firstOnConn() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.writtenBefore == 0
+}
+
+// unwritten reports whether no byte of the request was written.
+func (x *exchange) unwritten() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.conn != nil && !x.conn.requested.Load()
+}
+
 // release detaches the connection when net/http has completed the exchange and
 // tries to return the connection to the pool.
 func (x *exchange) release() {
@@ -334,11 +443,11 @@
 		// A server may send header lines without end.
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			raw, err := dial(ctx, network, addr)
+			raw, err := dial(ctx, network, dialAddress(addr))
 			if err != nil {
 				return nil, err
 			}
-			c := &trackedConn{Conn: raw, set: set, addr: addr}
+			c := newTrackedConn(raw, set, addr)
 			set.add(c)
 			return c, nil
 		},
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +13,7 @@
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/registry"
 )
 
 // UsageCounter counts the requests that began to run, by customer.
@@ -42,6 +44,9 @@
 	defer end()
 	d.Budget.Arrived(r.Service.Name)
 	c := &call{Dispatcher: d, request: r, content: r.Content(), answer: answer, lastEventID: r.LastEvent, binding: newVersionBinding(r)}
+	if !r.Route.Resumable {
+		c.lastEventID = "" // The servers of other routes need not heed it.
+	}
 	if d.Shutdown.tooLate(r.Deadline) {
 		c.fail(stoppingFailure(backend.RunNever))
 		return
@@ -69,6 +74,8 @@
 	answer  Answer
 	// avoid holds the IDs of the servers on which attempts failed.
 	avoid []string
+	// contacted holds the addresses of the servers to which the request was sent.
+	contacted []string
 	// attempts is the number of placements.
 	attempts int
 	// sent is the number of attempts that count towards the route's limit: the
@@ -93,6 +100,7 @@
 	// lastEventID is the ID of the last event that the client has received.
 	lastEventID string
 	binding     versionBinding
+	sequence    eventSequence
 	times       requestTimes
 }
 
@@ -255,7 +263,7 @@
 		return false
 	}
 	if c.started {
-		return route.Resumable
+		return route.Resumable && !c.sequence.unnumbered
 	}
 	return run == backend.RunNever || route.Repeatable()
 }
@@ -271,6 +279,7 @@
 // run sends the request to the placement's servers and relays the answer.
 func (c *call) run(ctx context.Context, place *Placement) *AttemptError {
 	c.attemptBegan = time.Time{}
+	c.sequence.delivered = false
 	if failed := c.quarantined(); failed != nil {
 		return failed
 	}
@@ -293,7 +302,7 @@
 		return failed
 	}
 	defer reply.Close()
-	if c.request.Route.Kind == catalog.KindStreaming && reply.Status() == http.StatusOK {
+	if c.request.Route.Kind == catalog.KindStreaming && reply.Status() == http.StatusOK && isEventStream(reply.Header()) {
 		failed = c.relayStream(place, reply)
 	} else {
 		failed = c.relayWhole(place, reply)
@@ -315,7 +324,7 @@
 	if c.runs > 0 && !c.Budget.Take(c.request.Service.Name) {
 		return nil, &AttemptError{Run: backend.RunNever, Reason: reasonBudget}
 	}
-	options.Left = time.Until(c.request.Deadline)
+	options.Left, options.Again = time.Until(c.request.Deadline), c.contact(place.Server)
 	reply, failed := c.Backends.Run(ctx, place.Server, c.request, options)
 	if failed != nil && !failed.Sent {
 		failed.Server = place.Server
@@ -330,12 +339,22 @@
 	return reply, nil
 }
 
+// contact records that the request is sent to a server, and reports whether it was sent to
+// the same address before.
+func (c *call) contact(server *registry.Server) bool {
+	if slices.Contains(c.contacted, server.Addr) {
+		return true
+	}
+	c.contacted = append(c.contacted, server.Addr)
+	return false
+}
+
 // prefill runs the prefill on the placement's prefill engine. Only a failed
 // prefill that was sent counts as an attempt and is charged to the retry
 // budget.
 func (c *call) prefill(ctx context.Context, place *Placement) (Handle, *AttemptError) {
 	begin := time.Now()
-	handle, failed := c.Backends.Prefill(ctx, place.Prefill, c.request, RunOptions{Fetch: place.Fetch, Left: time.Until(c.request.Deadline)})
+	handle, failed := c.Backends.Prefill(ctx, place.Prefill, c.request, RunOptions{Fetch: place.Fetch, Left: time.Until(c.request.Deadline), Again: c.contact(place.Prefill)})
 	took := time.Since(begin)
 	c.times.prefill += took
 	if failed == nil {
@@ -366,6 +385,9 @@
 			return replyError(err)
 		}
 		c.markBegun(place)
+		if !c.sequence.accept(c.lastEventID, ev) {
+			return &AttemptError{Run: backend.RunUnknown, Reason: "not_resumed", Sent: true, Err: eris.Errorf("event %q does not follow event %q", ev.ID, c.lastEventID)}
+		}
 		if c.attemptBegan.IsZero() {
 			c.attemptBegan = time.Now()
 		}
@@ -398,9 +420,10 @@
 	c.Scheduler.Started(place)
 }
 
-// finishStream completes a stream. A stream without events is a failure.
+// finishStream completes a stream. An attempt without events is a failure, also for a
+// stream that was begun: nothing shows that its last event has been sent.
 func (c *call) finishStream(place *Placement, status int) *AttemptError {
-	if !c.started {
+	if !c.sequence.delivered {
 		return &AttemptError{Run: backend.RunUnknown, Reason: "empty_stream", Sent: true, Lost: true}
 	}
 	if err := c.answer.Finish(); err != nil {
