pool: requests of a required version delay no others

Callers whose request any server could take waited behind a stream of the same customer that waited for the only server of its version; with four such customers, those of all customers waited. The order is per customer, and a dispatch stops after four customers whose next request finds no room, which says little if that request may go to few servers only.

The requests of a required version have a fair queueing state of their own, beside the customer's, and are counted apart when they find no room. TestRequestsOfAVersionDelayNoOthers saw none of 8 requests granted before and sees all of them now; the stateful test draws versions and checks each grant. The calls of Pool.customer in tests follow its new parameter.

--- a/pool/admit.go
+++ b/pool/admit.go
@@ -21,6 +21,9 @@
 	// maxSkippedBacklogs is the number of backlogs whose head finds no room after
 	// which the dispatch of one priority stops.
 	maxSkippedBacklogs = 4
+	// maxSkippedVersions is the same for backlogs of requests of a required version. That
+	// these find no room says little about the others.
+	maxSkippedVersions = 16
 )
 
 // serviceRate estimates the rate, in tokens per second, at which requests are
@@ -109,7 +112,7 @@
 
 // enqueueOrRefuse adds a new request to the queue or refuses it.
 func (p *Pool) enqueueOrRefuse(now time.Time, req *Request) {
-	c := p.customer(req.Customer, req.Weight)
+	c := p.customer(req)
 	w := p.newWaiting(req, c)
 	p.arrived.ArrivedPrefill += float64(w.prompt)
 	p.arrived.ArrivedDecode += float64(w.expected)
@@ -250,7 +253,8 @@
 		p.dispatchUrgent(now)
 		return
 	}
-	for len(q.heap[class]) > 0 && len(q.skipped) < maxSkippedBacklogs {
+	var skipped skippedBacklogs
+	for len(q.heap[class]) > 0 && !skipped.tooMany() {
 		if floor && q.batchCredit <= 0 {
 			break
 		}
@@ -264,6 +268,7 @@
 			p.recycle(w)
 			if class == Interactive && p.cfg.Priorities && q.batchCredit > 0 && len(q.heap[Batch]) > 0 {
 				p.restoreSkipped(class)
+				skipped = skippedBacklogs{}
 				p.dispatchClass(now, Batch, true)
 			}
 		case tooLate:
@@ -275,11 +280,27 @@
 			}
 			q.remove(class, b)
 			q.skipped = append(q.skipped, b)
+			skipped.count(b.owner)
 		}
 	}
 	p.restoreSkipped(class)
 }
 
+// skippedBacklogs counts the backlogs whose head found no room in a dispatch.
+type skippedBacklogs struct{ any, ofVersion int }
+
+func (s *skippedBacklogs) count(c *customer) {
+	if c.version == "" {
+		s.any++
+	} else {
+		s.ofVersion++
+	}
+}
+
+func (s *skippedBacklogs) tooMany() bool {
+	return s.any >= maxSkippedBacklogs || s.ofVersion >= maxSkippedVersions
+}
+
 // restoreSkipped puts the skipped backlogs of a priority back into the heap.
 func (p *Pool) restoreSkipped(class Priority) {
 	for _, b := range p.queue.skipped {
--- a/pool/answer_length_test.go
+++ b/pool/answer_length_test.go
@@ -28,7 +28,7 @@
 			p.Step(now, Released{granted.Ticket, answer})
 		}
 	}
-	c := p.customer("c", 1)
+	c := p.customer(&Request{Customer: "c", Weight: 1})
 	return p.newWaiting(&Request{PromptTokens: 9_200, MaxTokens: 512}, c).expected, p.newWaiting(&Request{PromptTokens: 1_000, MaxTokens: 512}, c).expected
 }
 
@@ -51,7 +51,7 @@
 	cfg := DefaultConfig()
 	cfg.ExpectedAnswers = true
 	p := New(cfg, 0)
-	c := p.customer("c", 1)
+	c := p.customer(&Request{Customer: "c", Weight: 1})
 	for range 50 {
 		p.learnAnswer(&ticket{customer: c, prompt: 100, limit: 1_000, produced: 900})
 		p.learnAnswer(&ticket{customer: c, prompt: 100, limit: 1_000})
--- a/pool/behaviour_test.go
+++ b/pool/behaviour_test.go
@@ -154,7 +154,7 @@
 // fillBacklog sends requests until want requests of the customer wait or one is
 // not queued.
 func (s *simulation) fillBacklog(customer string, weight float64, priority Priority, want int) {
-	c := s.pool.customer(customer, weight)
+	c := s.pool.customer(&Request{Customer: customer, Weight: weight})
 	for c.class[priority].count < want {
 		before := s.pool.Waiting()
 		s.send(Request{Customer: customer, Weight: weight, Priority: priority, PromptTokens: 1000, MaxTokens: 50})
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -26,7 +26,7 @@
 	names := make([]string, customers)
 	for i := range names {
 		names[i] = fmt.Sprintf("customer-%d", i)
-		p.customer(names[i], 1).open++
+		p.customer(&Request{Customer: names[i], Weight: 1}).open++
 	}
 	blocks := make([][]uint64, 64)
 	for i := range blocks {
@@ -145,7 +145,7 @@
 	measure("customer", 9300, func(n int) any {
 		p := build()
 		for i := range n {
-			p.customer(fmt.Sprintf("customer-%d", i), 1)
+			p.customer(&Request{Customer: fmt.Sprintf("customer-%d", i), Weight: 1})
 		}
 		return p
 	})
--- a/pool/filter_version_test.go
+++ b/pool/filter_version_test.go
@@ -105,3 +105,36 @@
 	p.Step(startTime, RunnersListed{list})
 	g.Expect(refused(p.Step(startTime, Tick{})).Request).To(Equal("v22"))
 }
+
+// Guards against streams that wait for the only runner of their version and hold up the
+// requests of the same customer, and of others, that any runner may serve.
+func TestRequestsOfAVersionDelayNoOthers(t *testing.T) {
+	for _, urgency := range []bool{false, true} {
+		g := NewWithT(t)
+		cfg := DefaultConfig()
+		cfg.Urgency, cfg.MaxOpen = urgency, 20
+		p, _ := versionPool(cfg, backend.RoleMixed, "v1", "v2")
+		counts := map[string]int{}
+		for i := range cfg.MaxOpen {
+			grantedOn(p.Step(startTime, GrantRequested{versionRequest(i, "v1")}), counts)
+		}
+		g.Expect(counts).To(Equal(map[string]int{"r0": cfg.MaxOpen}))
+		request := func(customer, version string) Request {
+			r := versionRequest(1000, version)
+			r.ID, r.Customer = customer+version, customer
+			return r
+		}
+		for c := range 2 * maxSkippedBacklogs {
+			g.Expect(p.Step(startTime, GrantRequested{request(fmt.Sprint(c), "v1")})).To(BeEmpty(), "waits")
+		}
+		for c := range 2 * maxSkippedBacklogs {
+			grantedOn(p.Step(startTime, GrantRequested{request(fmt.Sprint(c), "")}), counts)
+		}
+		g.Expect(counts["r1"]).To(Equal(2 * maxSkippedBacklogs))
+		checkCounts(t, p)
+		for id := range Ticket(cfg.MaxOpen) {
+			grantedOn(p.Step(startTime, Released{Ticket: id + 1, Tokens: 10}), counts)
+		}
+		g.Expect(counts).To(Equal(map[string]int{"r0": cfg.MaxOpen + 2*maxSkippedBacklogs, "r1": 2 * maxSkippedBacklogs}))
+	}
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -342,7 +342,7 @@
 	if r == nil {
 		return
 	}
-	c := p.customer(ev.Request.Customer, ev.Request.Weight)
+	c := p.customer(&ev.Request)
 	w := p.newWaiting(&ev.Request, c)
 	best := plan{}
 	r.candidate(now, &p.cfg, &best.runner)
--- a/pool/plugins_test.go
+++ b/pool/plugins_test.go
@@ -35,6 +35,8 @@
 		{"prefill stage", FilterRole{}, func(v *View, c *Candidate) { v.Stage, c.Info.Role = StagePrefill, backend.RolePrefill }, true},
 		{"no adapter", FilterAdapter{}, func(v *View, _ *Candidate) { v.Request.Adapter = "x" }, false},
 		{"adapter", FilterAdapter{}, func(v *View, c *Candidate) { v.Request.Adapter, c.Info.Adapters = "x", []string{"x"} }, true},
+		{"version", FilterVersion{}, func(v *View, c *Candidate) { v.Request.Version, c.Info.Version = "v1", "v2" }, false},
+		{"any version", FilterVersion{}, func(_ *View, c *Candidate) { c.Info.Version = "v2" }, true},
 		{"avoided", FilterAvoid{}, func(v *View, c *Candidate) { v.Request.Avoid = []string{c.Info.ID} }, false},
 		{"small memory", FilterMemory{}, func(_ *View, c *Candidate) { c.Memory = 1100 }, false},
 		{"full memory", FilterBounds{}, func(_ *View, c *Candidate) { c.KV = 9000 }, false},
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -21,7 +21,7 @@
 	oldest, newest *ticket
 	freeTickets    *ticket
 
-	customers map[string]*customer
+	customers map[customerKey]*customer
 	// answers learns the lengths of answers; nil before the first one.
 	answers *cost.Kinds
 	queue   fairQueue
@@ -61,7 +61,7 @@
 		slots:         map[string]int{},
 		tickets:       map[Ticket]*ticket{},
 		lastTicket:    first,
-		customers:     map[string]*customer{},
+		customers:     map[customerKey]*customer{},
 		queue:         fairQueue{fair: cfg.FairQueueing, urgency: urgencyOrder{enabled: cfg.Urgency && cfg.FairQueueing}},
 		prefixes:      newPrefixIndex(cfg.PrefixBlocks),
 		poolPredictor: newPredictor(cfg.PrefillRate),
@@ -129,12 +129,12 @@
 // dropIdleCustomers drops the state of customers that are idle.
 func (p *Pool) dropIdleCustomers() {
 	checked := 0
-	for name, c := range p.customers {
+	for key, c := range p.customers {
 		if checked++; checked > maxIdleChecks {
 			return
 		}
 		if c.idle(&p.queue) {
-			delete(p.customers, name)
+			delete(p.customers, key)
 		}
 	}
 }
@@ -158,16 +158,21 @@
 // customer are expected to use.
 const initialAnswerRatio = 0.5
 
-// customer returns the state of a customer, which it creates if necessary, and
-// applies a changed weight.
-func (p *Pool) customer(name string, weight float64) *customer {
-	c := p.customers[name]
+// customerKey identifies the state of a customer. Requests of a required version have a
+// state of their own, so that those that any runner may serve don't wait behind them.
+type customerKey struct{ name, version string }
+
+// customer returns the state of the customer of a request, which it creates if
+// necessary, and applies a changed weight.
+func (p *Pool) customer(req *Request) *customer {
+	key, weight := customerKey{req.Customer, req.Version}, req.Weight
+	c := p.customers[key]
 	if c == nil {
-		c = &customer{name: name, weight: 1, answerRatio: initialAnswerRatio}
+		c = &customer{name: req.Customer, version: req.Version, weight: 1, answerRatio: initialAnswerRatio}
 		for class := range priorities {
 			c.class[class] = backlog{owner: c, heapIndex: -1}
 		}
-		p.customers[name] = c
+		p.customers[key] = c
 	}
 	if weight > 0 && weight != c.weight {
 		for class := range priorities {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -131,6 +131,8 @@
 	waiting map[string]string
 	granted map[string]bool
 	refused map[string]bool
+	// versions holds the required versions by request.
+	versions map[string]string
 	// banned holds the runners that must not get grants.
 	banned map[string]bool
 	list   []RunnerInfo
@@ -144,6 +146,9 @@
 			if _, adopted := ev.(Adopted); !adopted && (m.banned[a.Runner] || m.banned[a.Prefill]) {
 				t.Fatalf("grant on banned runner %s (prefill %q) after %T", a.Runner, a.Prefill, ev)
 			}
+			if _, adopted := ev.(Adopted); !adopted {
+				m.checkVersion(t, a)
+			}
 			if m.refused[a.Request] || m.granted[a.Request] {
 				t.Fatalf("request %s was granted after an answer", a.Request)
 			}
@@ -173,6 +178,15 @@
 	}
 }
 
+// checkVersion checks that all runners of a grant have the required version.
+func (m *poolModel) checkVersion(t *rapid.T, a Granted) {
+	for _, info := range m.list {
+		if version := m.versions[a.Request]; version != "" && info.Version != version && slices.Contains([]string{a.Runner, a.Prefill, a.KVSource}, info.ID) {
+			t.Fatalf("grant %+v on runner %s of version %q, required is %q", a, info.ID, info.Version, version)
+		}
+	}
+}
+
 func (m *poolModel) ticket(t *rapid.T) Ticket {
 	if len(m.open) == 0 || rapid.IntRange(0, 9).Draw(t, "stray") == 0 {
 		return Ticket(rapid.IntRange(0, 300).Draw(t, "ticket"))
@@ -207,6 +221,8 @@
 		r.Objective = m.now.Add(time.Duration(drawTokens(t, "left")) * time.Millisecond)
 	}
 	r.Rank = drawTokens(t, "rank")
+	r.Version = rapid.SampledFrom([]string{"", "", "v1", "v2"}).Draw(t, "version")
+	m.versions[r.ID] = r.Version
 	return r
 }
 
@@ -216,6 +232,7 @@
 	for i := range 6 {
 		info := runnerInfo(i)
 		info.Role = rapid.SampledFrom([]backend.Role{backend.RoleMixed, backend.RoleMixed, backend.RolePrefill, backend.RoleDecode}).Draw(t, "role")
+		info.Version = rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")
 		info.KVTotal = rapid.SampledFrom([]int{0, 8000, 100_000, -1}).Draw(t, "kv")
 		switch rapid.IntRange(0, 6).Draw(t, "state") {
 		case 0:
@@ -250,7 +267,7 @@
 		cfg.Urgency = rapid.Bool().Draw(t, "urgency")
 		m := &poolModel{
 			pool: New(cfg, 0), now: startTime, open: map[Ticket]Granted{}, waiting: map[string]string{},
-			granted: map[string]bool{}, refused: map[string]bool{}, banned: map[string]bool{}, bound: 18,
+			granted: map[string]bool{}, refused: map[string]bool{}, versions: map[string]string{}, banned: map[string]bool{}, bound: 18,
 		}
 		m.setRunners(t)
 		t.Repeat(map[string]func(*rapid.T){
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -15,11 +15,13 @@
 	prev, next *waitingRequest
 }
 
-// customer is the fair queueing state of one customer.
+// customer is the fair queueing state of one customer, or of its requests of one
+// required version.
 type customer struct {
-	name   string
-	weight float64
-	open   int
+	name    string
+	version string
+	weight  float64
+	open    int
 	// answerRatio is the moving average of the share of MaxTokens that answers use.
 	answerRatio float64
 	class       [priorities]backlog
--- a/pool/queue_test.go
+++ b/pool/queue_test.go
@@ -20,7 +20,7 @@
 				Customer: fmt.Sprint(random.IntN(150)), Entry: fmt.Sprint(random.IntN(2)),
 				PromptTokens: 1 + random.IntN(5000), MaxTokens: 10, ID: fmt.Sprint(i),
 			}
-			c := p.customer(r.Customer, 1)
+			c := p.customer(&Request{Customer: r.Customer, Weight: 1})
 			// Different finish times give the heads different start times.
 			c.class[Interactive].virtualFinish += float64(random.IntN(5000))
 			p.queue.push(c, p.newWaiting(&r, c))
--- a/pool/urgency.go
+++ b/pool/urgency.go
@@ -277,7 +277,8 @@
 	o.attempt++
 	at := now.UnixNano()
 	p.lateRate.advance(now, o.count[laneLate] > 0)
-	for skipped := 0; skipped < maxSkippedBacklogs; {
+	var skipped skippedBacklogs
+	for !skipped.tooMany() {
 		lane := laneFresh
 		if o.lateCredit > 0 {
 			lane = laneLate
@@ -311,7 +312,7 @@
 				return
 			}
 			w.owner.skippedAt = o.attempt
-			skipped++
+			skipped.count(w.owner.owner)
 		}
 	}
 }
