pool: a batch request that would miss its objective is placed

A pool with the order by urgency never returned from a step with a batch request whose objective can't be met any longer: its placement was put off as untimely, which only the order by urgency, for interactive requests, handles. Requests outside that order are placed now.

--- a/pool/place.go
+++ b/pool/place.go
@@ -181,7 +181,7 @@
 		p.refuse(w, ReasonDeadline, retryAfter(late))
 		return tooLate
 	}
-	if p.cfg.Urgency && w.isUntimely(now, &best) {
+	if p.queue.ordered(w.request.Priority) && w.isUntimely(now, &best) {
 		return untimely
 	}
 	p.grant(now, c, w, &best)
--- a/pool/urgency_test.go
+++ b/pool/urgency_test.go
@@ -195,3 +195,23 @@
 	}
 	checkCounts(t, p)
 }
+
+// Guards against a pool that never returns when a batch request would miss its objective.
+func TestBatchRequestWithoutTimeIsPlaced(t *testing.T) {
+	g := NewWithT(t)
+	cfg := DefaultConfig()
+	cfg.Urgency, cfg.MaxOpen = true, 1
+	p := New(cfg, 0)
+	p.Step(startTime, RunnersListed{runnerList(1)})
+	counts := map[string]int{}
+	request := Request{ID: "a", Entry: "e", Customer: "c", Priority: Batch, PromptTokens: 10, MaxTokens: 10}
+	grantedOn(p.Step(startTime, GrantRequested{request}), counts)
+	request.ID, request.Objective = "b", startTime.Add(time.Second)
+	grantedOn(p.Step(startTime, GrantRequested{request}), counts)
+	stepped := make(chan []Action, 1)
+	go func() { stepped <- p.Step(startTime.Add(2*time.Second), Released{Ticket: 1, Tokens: 10}) }()
+	var actions []Action
+	g.Eventually(stepped).Should(Receive(&actions))
+	grantedOn(actions, counts)
+	g.Expect(counts).To(Equal(map[string]int{"r0": 2}))
+}
