--- a/pool/place.go
+++ b/pool/place.go
@@ -181,7 +181,7 @@
 		p.refuse(w, ReasonDeadline, retryAfter(late))
 		return tooLate
 	}
-	if p.cfg.Urgency && w.isUntimely(now, &best) {
+	if p.queue.ordered(w.request.Priority) && w.isUntimely(now, &best) {
 		return untimely
 	}
 	p.grant(now, c, w, &best)
@@ -342,7 +342,7 @@
 	if r == nil {
 		return
 	}
-	c := p.customer(ev.Request.Customer, ev.Request.Weight)
+	c := p.customer(&ev.Request)
 	w := p.newWaiting(&ev.Request, c)
 	best := plan{}
 	r.candidate(now, &p.cfg, &best.runner)
