ingresstest: the held listener notes an answer before its write returns

TestStopAnswersTheRequestThatIsBeingRead could wait without end: the server may read the first byte of the next request before the write of the answer returns, and the read was then not held. The tests also give up waiting after 5 s.

--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -148,7 +148,7 @@
 			time.Sleep(700 * time.Millisecond)
 			_, err = io.WriteString(c, post+"\r\n")
 			g.Expect(err).NotTo(HaveOccurred())
-			<-held.Reached()
+			g.Eventually(held.Reached(), 5*time.Second).Should(BeClosed())
 			time.Sleep(time.Second)
 			held.Release()
 			g.Expect(answer(c)).To(Equal(http.StatusOK))
--- a/ingress/ingresstest/pause.go
+++ b/ingress/ingresstest/pause.go
@@ -49,7 +49,8 @@
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
 func (c *conn) Write(p []byte) (int, error) {
-	defer c.listener.answer.Do(func() { close(c.listener.answered) })
+	// The server may read the next request before the write returns.
+	c.listener.answer.Do(func() { close(c.listener.answered) })
 	return c.Conn.Write(p)
 }
 
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -64,7 +64,7 @@
 
 			_, err = io.WriteString(conn, c.early)
 			g.Expect(err).NotTo(HaveOccurred())
-			<-held.Reached()
+			g.Eventually(held.Reached(), 5*time.Second).Should(BeClosed())
 			stopped := make(chan error, 1)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
