versionpin: a store that continues from an older copy is known to be complete sooner

History 1 now counts as the first one, and daemons that knew the complete list carry its versions over to the next history.

--- a/versionpin/store_test.go
+++ b/versionpin/store_test.go
@@ -52,7 +52,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{topics: map[hosting.Topic][]fakeRecord{}, changed: make(chan struct{}), cut: map[string]bool{}}
+	return &fakeStore{topics: map[hosting.Topic][]fakeRecord{}, changed: make(chan struct{}), history: 1, cut: map[string]bool{}}
 }
 
 func (s *fakeStore) set(change func()) {
--- a/versionpin/versions.go
+++ b/versionpin/versions.go
@@ -10,8 +10,8 @@
 
 const (
 	// firstHistory is the history of a store that has never continued from an older
-	// copy.
-	firstHistory = 0
+	// copy, or a higher one: a store that names no history is in history 0.
+	firstHistory = 1
 	// retireMargin is the time, beyond twice the longest stream, for which a version has
 	// no server before it is marked as retiring. It covers servers that go on serving
 	// after they have left the list.
@@ -19,6 +19,13 @@
 	// removeAfter is the time for which a version is retiring before it is removed. All
 	// daemons that reach the store read the mark within it.
 	removeAfter = 30 * time.Second
+	// maxCarryAge is the age of the last read of a complete list up to which its versions
+	// are carried over to a new history. It exceeds the longest wait of a read.
+	maxCarryAge = 30 * time.Second
+	// carryAfter is the time after the begin of a new history from which on a daemon that
+	// has carried all versions over states that the list is complete. Servers and daemons
+	// write their entries again within it.
+	carryAfter = 5 * time.Second
 )
 
 // Write is a record that is due for the topic of versions. It must take effect only at
@@ -46,6 +53,9 @@
 	// complete is the history of the record of completeKey.
 	complete   int64
 	completeAt int64
+	// carried holds the versions of the earlier history that the present one must list
+	// too. It is nil if not all of them are known.
+	carried map[Version]bool
 	// serving holds the versions that servers have, as far as this daemon knows.
 	serving map[Version]bool
 	// readAt is the time of the last read.
@@ -108,13 +118,26 @@
 // topic must be read anew.
 func (v *Versions) Lost(now time.Time, history int64) { v.enter(now, history) }
 
-// enter drops what is known if a new history has begun.
+// enter drops what is known if a new history has begun, but for the versions that are
+// carried over.
 func (v *Versions) enter(now time.Time, history int64) {
-	if history > v.history {
-		v.history, v.historyAt, v.end = history, now, hosting.NoOffset
-		clear(v.records)
-		clear(v.unserved)
+	if history <= v.history {
+		return
+	}
+	switch {
+	case v.end == hosting.NoOffset, now.Sub(v.readAt) > maxCarryAge:
+		v.carried = nil
+	case v.complete == v.history:
+		v.carried = map[Version]bool{}
+		fallthrough
+	case v.carried != nil:
+		for _, listed := range v.records {
+			v.carried[listed.version] = true
+		}
 	}
+	v.history, v.historyAt, v.end = history, now, hosting.NoOffset
+	clear(v.records)
+	clear(v.unserved)
 }
 
 func (v *Versions) apply(now time.Time, page hosting.KeyedPage) {
@@ -174,9 +197,17 @@
 	return v.end != hosting.NoOffset && !v.outdated[version] && v.records[versionKey(version)].state == stateServing
 }
 
-// Unconfirmed returns the versions that have servers and are not confirmed.
+// Unconfirmed returns the versions that have servers and are not confirmed, and those
+// that are carried over and not listed.
 func (v *Versions) Unconfirmed() []Version {
 	var out []Version
+	if v.complete != v.history {
+		for version := range v.carried {
+			if !v.serving[version] && v.records[versionKey(version)].state == "" {
+				out = append(out, version)
+			}
+		}
+	}
 	for version := range v.serving {
 		if !v.Confirmed(version) {
 			out = append(out, version)
@@ -244,7 +275,7 @@
 // StartsEmpty returns the record that states that the topic is complete from its begin.
 // It is due before any other one if no daemon has ever written to the topic.
 func (v *Versions) StartsEmpty() (Write, bool) {
-	if v.end != hosting.Position(firstHistory, 0) {
+	if v.end == hosting.NoOffset || hosting.OffsetIn(v.end) != 0 || v.history > firstHistory {
 		return Write{}, false
 	}
 	return v.completeWrite(), true
@@ -260,8 +291,12 @@
 		return nil
 	}
 	retireAfter := retireMargin + 2*v.LongestStream
+	settled := retireAfter
+	if v.carried != nil {
+		settled = carryAfter
+	}
 	var out []Write
-	if v.complete != v.history && now.Sub(v.historyAt) >= retireAfter && len(v.Unconfirmed()) == 0 {
+	if v.complete != v.history && now.Sub(v.historyAt) >= settled && len(v.Unconfirmed()) == 0 {
 		out = append(out, v.completeWrite())
 	}
 	for key, listed := range v.records {
--- a/versionpin/versions_test.go
+++ b/versionpin/versions_test.go
@@ -48,6 +48,7 @@
 	g.Expect(only(v)).To(Equal("v1"))
 	v.SetServing(now, map[Version]bool{v1: true, v2: true}, true)
 
+	now = now.Add(2 * maxCarryAge)
 	v.Replace(now, completeIn(listing(1, v1), 0))
 	g.Expect(only(v)).To(BeEmpty())
 	g.Expect(v.Due(now.Add(time.Hour))).To(BeEmpty(), "a version is not confirmed")
@@ -64,6 +65,32 @@
 	g.Expect(starts).To(BeFalse(), "the copy is from before the first record")
 }
 
+// Guards against a restored list that counts as complete without all versions that the
+// lost one had, and against one that is not known to be complete for long.
+func TestVersionsAreCarriedOverToARestoredTopic(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	v1, v2 := Version{"llm", "v1"}, Version{"llm", "v2"}
+	v := NewVersions()
+	v.Replace(now, completeIn(listing(1, v1, v2), 1))
+	v.SetServing(now, map[Version]bool{v1: true}, true)
+	v.Replace(now, completeIn(listing(2, v1), 1))
+	g.Expect(v.Unconfirmed()).To(ConsistOf(v2))
+	g.Expect(v.Due(now.Add(carryAfter))).To(BeEmpty())
+	v.Lost(now, 3)
+	v.Replace(now, completeIn(listing(3), 1))
+	g.Expect(v.Unconfirmed()).To(ConsistOf(v1, v2))
+	for _, version := range v.Unconfirmed() {
+		g.Expect(v.Written(now, versionPut(version, stateServing), v.End())).To(BeTrue())
+	}
+	g.Expect(v.Due(now.Add(carryAfter - 1))).To(BeEmpty())
+	due := v.Due(now.Add(carryAfter))
+	g.Expect(due).To(ConsistOf(HaveField("Record.Key", completeKey)))
+	g.Expect(v.Written(now, due[0].Record, due[0].At)).To(BeTrue())
+	g.Expect(only(v)).To(BeEmpty())
+	g.Expect(v.Unconfirmed()).To(BeEmpty())
+}
+
 // Guards against versions that are removed while a daemon may use them.
 func TestVersionIsRemovedInTwoSteps(t *testing.T) {
 	g := NewWithT(t)
