--- a/versionpin/pins.go
+++ b/versionpin/pins.go
@@ -35,6 +35,8 @@
 	lookupTimeout = 1500 * time.Millisecond
 	// tickInterval is the time between two checks of what is due.
 	tickInterval = time.Second
+	// writersPerTick is the mean number of daemons that make a change that is due.
+	writersPerTick = 3
 )
 
 var (
@@ -239,7 +241,7 @@
 	p.mu.Lock()
 	due := p.versions.Due(time.Now())
 	p.mu.Unlock()
-	if len(due) == 0 || rand.N(max(p.Daemons(), 1)) > 0 {
+	if len(due) == 0 || rand.N(max(p.Daemons(), 1)) >= writersPerTick {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, readTimeout)
--- a/versionpin/versions.go
+++ b/versionpin/versions.go
@@ -25,7 +25,7 @@
 	// carryAfter is the time after the begin of a new history from which on a daemon that
 	// has carried all versions over states that the list is complete. Servers and daemons
 	// write their entries again within it.
-	carryAfter = 5 * time.Second
+	carryAfter = 3 * time.Second
 )
 
 // Write is a record that is due for the topic of versions. It must take effect only at
