versionpin: the calls of all daemons to the store are bounded, whatever clients send

60 daemons with two versions made 1,014 reads a second for 10 look-ups of invented IDs a second each. A look-up reads two topics, so that each daemon now spaces its reads by 3 ms for each daemon.

--- /dev/null
+++ b/versionpin/cost_test.go
@@ -0,0 +1,96 @@
+package versionpin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/hlc"
+	"github.com/mimosakeel/mimosakeel/hosting"
+)
+
+const (
+	// allowedWrites and allowedReads are half of the calls per second that the store
+	// allows to all daemons.
+	allowedWrites = 200
+	allowedReads  = 1000
+)
+
+// Guards against daemons whose calls to the store grow with their number, with the
+// streams, or with the look-ups of invented IDs.
+func TestCallsToTheStoreAreBounded(t *testing.T) {
+	for _, daemons := range []int{6, 60, 300} {
+		for versions := 1; versions <= 2; versions++ {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := newSimulationOf(t, 1, daemons)
+				defer s.stop()
+				for range versions - 1 {
+					s.release()
+				}
+				time.Sleep(2 * simLag)
+				const streams, seconds = 10, 10
+				perSecond := func(what string, work func(i, n int)) (writes, reads float64) {
+					var before, after fakeCounts
+					s.store.set(func() { before = s.store.fakeCounts })
+					for n := range streams * seconds {
+						for i := range daemons {
+							work(i, n)
+						}
+						time.Sleep(time.Second / streams)
+					}
+					s.store.set(func() { after = s.store.fakeCounts })
+					writes, reads = float64(after.writes-before.writes)/seconds, float64(after.reads-before.reads)/seconds
+					t.Logf("%d daemons, %d versions, %s: a second %.1f writes of %.0f bytes, %.1f reads of %.0f bytes", daemons, versions, what,
+						writes, float64(after.written-before.written)/seconds, reads, float64(after.read-before.read)/seconds)
+					return writes, reads
+				}
+				writes, reads := perSecond(fmt.Sprintf("%d streams a second each", streams), func(i, _ int) { s.begin(i) })
+				g.Expect(writes).To(BeNumerically("<=", allowedWrites))
+				g.Expect(reads).To(BeNumerically("<=", allowedReads))
+				if versions == 1 {
+					g.Expect(writes).To(BeZero())
+				}
+				writes, reads = perSecond(fmt.Sprintf("%d invented IDs a second each", streams), func(i, n int) {
+					s.work.Go(func() {
+						_, _ = s.daemons[i].Lookup(context.Background(), simService, fmt.Sprint("invented", i, "-", n))
+					})
+				})
+				g.Expect(writes).To(BeNumerically("<=", allowedWrites))
+				g.Expect(reads).To(BeNumerically("<=", allowedReads))
+			})
+		}
+	}
+}
+
+// BenchmarkBegin measures what a stream costs before its first event is passed on.
+func BenchmarkBegin(b *testing.B) {
+	p := New(Config{Topics: storeClient{newFakeStore(), "vm-0"}, VersionTopic: hosting.Topic{Name: "versions"}, StreamTopic: hosting.Topic{Name: "streams"},
+		Events: event.NewRecorder(hlc.New(time.Now), "vm-0", nil, zerolog.New(io.Discard)), Daemons: func() int { return 1 }})
+	go p.Run(b.Context())
+	for _, version := range []string{"v1", "v2"} {
+		if err := p.Confirm(b.Context(), simService, version); err != nil {
+			b.Fatal(err)
+		}
+	}
+	requests := make([]string, b.N)
+	for i := range requests {
+		requests[i] = fmt.Sprint("r", i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for _, request := range requests {
+		if err := p.Confirm(b.Context(), simService, "v1"); err != nil {
+			b.Fatal(err)
+		}
+		p.Pin(simService, request, "v1")
+	}
+}
--- a/versionpin/read.go
+++ b/versionpin/read.go
@@ -19,7 +19,7 @@
 	// readSpacingPerDaemon the same for each daemon, so that clients that invent request
 	// IDs can't use up the calls that the store allows.
 	minReadSpacing       = 20 * time.Millisecond
-	readSpacingPerDaemon = 2 * time.Millisecond
+	readSpacingPerDaemon = 3 * time.Millisecond
 	// pollWait is the time for which a read of the topic of versions waits for new
 	// records. It is longer with many daemons.
 	pollWait          = 10 * time.Second
--- a/versionpin/simulation_test.go
+++ b/versionpin/simulation_test.go
@@ -42,7 +42,7 @@
 	work  sync.WaitGroup
 
 	mu      sync.Mutex
-	daemons [simDaemons]*simDaemon
+	daemons []*simDaemon
 	// serving holds the versions of servers.
 	serving  map[Version]bool
 	versions int
@@ -68,7 +68,11 @@
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
-	s := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: newFakeStore(), serving: map[Version]bool{}, copied: map[hosting.Topic][]fakeRecord{}}
+	return newSimulationOf(t, seed, simDaemons)
+}
+
+func newSimulationOf(t *testing.T, seed uint64, daemons int) *simulation {
+	s := &simulation{t: t, daemons: make([]*simDaemon, daemons), rng: rand.New(rand.NewPCG(seed, 0)), store: newFakeStore(), serving: map[Version]bool{}, copied: map[hosting.Topic][]fakeRecord{}}
 	s.release()
 	for i := range s.daemons {
 		s.start(i)
@@ -86,7 +90,7 @@
 	vm := fmt.Sprint("vm-", i)
 	d := &simDaemon{Pins: New(Config{
 		Topics: storeClient{s.store, vm}, VersionTopic: hosting.Topic{Name: "versions"}, StreamTopic: hosting.Topic{Name: "streams"},
-		VM: vm, Events: event.NewRecorder(hlc.New(time.Now), vm, nil, zerolog.New(io.Discard)), Daemons: func() int { return simDaemons },
+		VM: vm, Events: event.NewRecorder(hlc.New(time.Now), vm, nil, zerolog.New(io.Discard)), Daemons: func() int { return len(s.daemons) },
 	})}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.list = copyOf(s.serving)
@@ -241,8 +245,8 @@
 // load begins and takes up streams for a while.
 func (s *simulation) load(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		s.begin(s.rng.IntN(simDaemons))
-		s.takeUp(s.rng.IntN(simDaemons), s.rng.IntN(2) == 0)
+		s.begin(s.rng.IntN(len(s.daemons)))
+		s.takeUp(s.rng.IntN(len(s.daemons)), s.rng.IntN(2) == 0)
 	}
 }
 
@@ -260,7 +264,7 @@
 // disturb lets one random thing happen.
 func (s *simulation) disturb(restores bool) {
 	pause := time.Duration(s.rng.Int64N(int64(3 * time.Second)))
-	i := s.rng.IntN(simDaemons)
+	i := s.rng.IntN(len(s.daemons))
 	switch s.rng.IntN(12) {
 	case 0, 1:
 		s.release()
@@ -342,7 +346,7 @@
 			s.mu.Unlock()
 			for range 300 {
 				time.Sleep(5 * time.Millisecond)
-				s.takeUp(s.rng.IntN(simDaemons), false)
+				s.takeUp(s.rng.IntN(len(s.daemons)), false)
 			}
 			time.Sleep(2 * time.Second)
 			s.mu.Lock()
--- a/versionpin/store_test.go
+++ b/versionpin/store_test.go
@@ -47,10 +47,12 @@
 	cut map[string]bool
 	// latePolls is the VM whose waiting reads are answered a second late.
 	latePolls string
-	// writes and reads count calls, and bytes the sizes of written values.
-	writes, reads, bytes int
+	fakeCounts
 }
 
+// fakeCounts counts calls, and the bytes of the values in them.
+type fakeCounts struct{ writes, reads, written, read int }
+
 func newFakeStore() *fakeStore {
 	return &fakeStore{topics: map[hosting.Topic][]fakeRecord{}, changed: make(chan struct{}), history: 1, cut: map[string]bool{}}
 }
@@ -106,7 +108,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writes++
-	c.bytes += len(r.Value)
+	c.written += len(r.Value)
 	end := int64(len(c.topics[topic]))
 	if at != hosting.NoOffset && hosting.OffsetIn(at) != end {
 		return 0, hosting.OutcomeRefused, &hosting.ConflictError{Topic: topic, End: hosting.Position(c.history, end)}
@@ -146,7 +148,13 @@
 			late = 0
 			continue
 		case offset < end:
-			return page(history, offset, records[offset:]), nil
+			out := page(history, offset, records[offset:])
+			c.set(func() {
+				for _, r := range out.Records {
+					c.read += len(r.Value)
+				}
+			})
+			return out, nil
 		}
 		select {
 		case <-changed:
