edge: daemons pass the list of versions on to each other

A daemon that was started while the store turned it away began no stream, although its peers knew the versions of the servers. The topic of versions is now replicated like the other topics: two daemons follow it and the others learn it with heartbeats.

--- a/edge/control.go
+++ b/edge/control.go
@@ -82,6 +82,8 @@
 	// servingAt.
 	setServing func(serving map[versionpin.Version]bool, longestStream time.Duration, fresh bool)
 	servingAt  time.Time
+	// setVersions passes on a copy of the topic of versions that was up to date at a time.
+	setVersions func(page hosting.KeyedPage, at time.Time)
 	// limitPlain applies the limit of a plain server.
 	limitPlain func(server string, limit float64, limited bool)
 	// plainTold holds the limits of plain servers that other daemons were told.
@@ -154,6 +156,7 @@
 		plainTold:   map[string]namedLimit{},
 		limitPlain:  func(string, float64, bool) {},
 		setServing:  func(map[versionpin.Version]bool, time.Duration, bool) {},
+		setVersions: func(hosting.KeyedPage, time.Time) {},
 
 		workTick:          func(time.Time) {},
 		workReported:      func(string, *WorkReport) {},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,7 +138,7 @@
 	d.control.schedulerLeft = d.grants.schedulerLeft
 	d.budget = newRetryBudget(s.Retry, d.retryShares)
 	d.versions = d.newVersionPins()
-	d.control.setServing = d.versions.SetServing
+	d.control.setServing, d.control.setVersions = d.versions.SetServing, d.versions.SetVersions
 	d.dispatcher = &dispatch.Dispatcher{
 		Scheduler:  scheduler{engines: d.grants, plain: d.plain, server: d.server},
 		Backends:   cfg.Backends,
@@ -414,6 +414,7 @@
 		feedServers:    d.Source.ServerTopic,
 		feedMembers:    d.Source.MemberTopic,
 		feedQuarantine: d.Source.QuarantineTopic,
+		feedVersions:   d.Source.VersionTopic,
 	}
 	keep := map[feedID]replica.Keep{
 		feedConfig:     d.control.keepConfig,
@@ -428,6 +429,7 @@
 		feeds[id] = &feed{topic: topic, replica: replica.New(keep[feedID(id)]), follower: newFollower(d.Topics, topic, d.Events, read)}
 	}
 	feeds[feedQuarantine].follower.wait = quarantineWait
+	feeds[feedVersions].follower.wait = quarantineWait
 	feeds[feedServers].follower.spacing = serverReadSpacing
 	return feeds
 }
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -41,6 +41,7 @@
 	feedServers
 	feedMembers
 	feedQuarantine
+	feedVersions
 	feedCount
 )
 
@@ -281,6 +282,8 @@
 		c.updateMemberList(now)
 	case feedQuarantine:
 		c.quarantine.applyRecords(records)
+	case feedVersions:
+		c.publishVersions()
 	}
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -18,7 +18,7 @@
 	// time for which a stalled connection hides a change.
 	followWait = 800 * time.Millisecond
 	// quarantineWait is followWait for quarantines, of which daemons also tell each
-	// other.
+	// other, and for versions, which are also read when they matter.
 	quarantineWait = 8 * time.Second
 	// followRetry is the mean pause after a failed read.
 	followRetry = 200 * time.Millisecond
--- a/edge/version_pins.go
+++ b/edge/version_pins.go
@@ -30,6 +30,7 @@
 		return
 	}
 	c.servingAt = now
+	c.publishVersions()
 	services := map[string]bool{}
 	longest := time.Duration(0)
 	cat.Routes(func(r *catalog.Route) {
@@ -50,3 +51,11 @@
 	}
 	c.setServing(serving, longest, !c.storeUnavailable)
 }
+
+// publishVersions passes on the replica of the topic of versions.
+func (c *control) publishVersions() {
+	r := c.feeds[feedVersions].replica
+	if r.End() != hosting.NoOffset && r.Complete() {
+		c.setVersions(hosting.KeyedPage{End: r.End(), Records: r.Since(hosting.NoOffset, hosting.NoOffset).Records}, r.Fresh())
+	}
+}
--- a/edge/version_test.go
+++ b/edge/version_test.go
@@ -142,3 +142,24 @@
 	listed = &registry.Server{ID: "a", SoftwareVersion: "v2"}
 	g.Expect(s.Usable(placed)).To(BeFalse())
 }
+
+// Guards against a list of versions that a peer has sent and that this daemon doesn't use.
+func TestVersionsOfPeersArePassedOn(t *testing.T) {
+	g := NewWithT(t)
+	sc := newScaleControl(t, 3, 5, 1)
+	var passed hosting.KeyedPage
+	var passedAt time.Time
+	sc.setVersions = func(page hosting.KeyedPage, at time.Time) { passed, passedAt = page, at }
+	record := hosting.KeyedRecord{Key: "version", Value: []byte("v1"), Offset: 0}
+	push := &Push{Feeds: make([]FeedRecords, feedCount)}
+	for id := range push.Feeds {
+		push.Feeds[id].End = hosting.NoOffset
+	}
+	push.Feeds[feedVersions] = FeedRecords{Records: []hosting.KeyedRecord{record}, From: hosting.NoOffset, Base: hosting.NoOffset, End: 1, Total: 1}
+	sc.applyPush(sc.now, "vm-1", push)
+	g.Expect(passed).To(Equal(hosting.KeyedPage{End: 1, Records: []hosting.KeyedRecord{record}}))
+	fresh := sc.now.Add(time.Second)
+	sc.feeds[feedVersions].replica.Refresh(1, fresh)
+	sc.publishServing(fresh)
+	g.Expect(passedAt).To(Equal(fresh))
+}
--- a/versionpin/pins.go
+++ b/versionpin/pins.go
@@ -65,7 +65,8 @@
 }
 
 // Pins remembers the versions of streams. It implements dispatch.VersionPins and is
-// safe for concurrent use. It works while Run runs.
+// safe for concurrent use. It works while Run runs, with SetVersions and SetServing
+// called at least once a second.
 type Pins struct {
 	Config
 	work        context.Context
@@ -101,19 +102,17 @@
 // Run keeps the copies of the topics until the context ends.
 func (p *Pins) Run(ctx context.Context) {
 	defer p.stop()
-	var running sync.WaitGroup
-	running.Go(func() { p.followVersions(ctx) })
-	running.Go(func() { p.flush(ctx) })
+	var flushing sync.WaitGroup
+	flushing.Go(func() { p.flush(ctx) })
 	for ctx.Err() == nil {
 		sleep(ctx, tickInterval)
 		p.tick(ctx)
 	}
-	running.Wait()
+	flushing.Wait()
 }
 
 // SetServing sets the versions that servers have and the longest time that a stream may
-// take. fresh is set if the list of servers is known to be up to date. It is to be called
-// at least once a second.
+// take. fresh is set if the list of servers is known to be up to date.
 func (p *Pins) SetServing(serving map[Version]bool, longestStream time.Duration, fresh bool) {
 	p.changeVersions(func(now time.Time) {
 		p.versions.LongestStream, p.streams.LongestStream = longestStream, longestStream
--- a/versionpin/read.go
+++ b/versionpin/read.go
@@ -20,14 +20,6 @@
 	// IDs can't use up the calls that the store allows.
 	minReadSpacing       = 20 * time.Millisecond
 	readSpacingPerDaemon = 3 * time.Millisecond
-	// pollWait is the time for which a read of the topic of versions waits for new
-	// records. It is longer with many daemons.
-	pollWait          = 10 * time.Second
-	pollWaitPerDaemon = 20 * time.Millisecond
-	maxPollWait       = 25 * time.Second
-	// pollRetry is the first pause after a failed read, and maxPollRetry the longest.
-	pollRetry    = 200 * time.Millisecond
-	maxPollRetry = 2 * time.Second
 	// wholePageBytes is the size of a page below which the store has not truncated it.
 	wholePageBytes = 512 << 10
 )
@@ -97,16 +89,12 @@
 }
 
 // readVersions reads the topic of versions up to its end.
-func (p *Pins) readVersions(ctx context.Context) error { return p.pollVersions(ctx, 0) }
-
-// pollVersions reads the topic of versions up to its end, and waits for new records if
-// there are none.
-func (p *Pins) pollVersions(ctx context.Context, wait time.Duration) error {
+func (p *Pins) readVersions(ctx context.Context) error {
 	p.mu.Lock()
 	end := p.versions.End()
 	p.mu.Unlock()
 	if end != hosting.NoOffset {
-		page, err := p.Topics.Follow(ctx, p.VersionTopic, end, wait)
+		page, err := p.Topics.Follow(ctx, p.VersionTopic, end, 0)
 		var trimmed *hosting.TrimmedError
 		var lost *hosting.HistoryError
 		switch {
@@ -119,14 +107,20 @@
 			return err
 		}
 	}
+	begin := time.Now()
 	page, err := p.Topics.Newest(ctx, p.VersionTopic)
 	if err != nil {
 		return err
 	}
-	p.changeVersions(func(now time.Time) { p.versions.Replace(now, page) })
+	p.SetVersions(page, begin)
 	return nil
 }
 
+// SetVersions passes on a copy of the topic of versions that was up to date at a time.
+func (p *Pins) SetVersions(page hosting.KeyedPage, at time.Time) {
+	p.changeVersions(func(now time.Time) { p.versions.Replace(now, page, at) })
+}
+
 // changeVersions changes what is known of versions, and starts the work that follows.
 func (p *Pins) changeVersions(change func(now time.Time)) {
 	p.mu.Lock()
@@ -136,33 +130,6 @@
 	p.confirmServing()
 }
 
-// followVersions keeps the copy of the topic of versions up to date.
-func (p *Pins) followVersions(ctx context.Context) {
-	failed, pause := false, pollRetry
-	for wait := time.Duration(0); ctx.Err() == nil; {
-		call, cancel := context.WithTimeout(ctx, wait+readTimeout)
-		err := p.pollVersions(call, wait)
-		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if !failed {
-				p.Events.Record(event.KindFault, "versions_lost", p.VersionTopic.String(), event.F("error", err.Error()))
-			}
-			failed, wait = true, 0
-			sleep(ctx, jitter(pause))
-			pause = min(2*pause, maxPollRetry)
-			continue
-		}
-		if failed {
-			p.Events.Record(event.KindConfig, "versions_regained", p.VersionTopic.String())
-		}
-		failed, pause = false, pollRetry
-		wait = min(max(pollWait, time.Duration(p.Daemons())*pollWaitPerDaemon), maxPollWait)
-	}
-}
-
 // readStreams reads the topic of streams up to its end, from the oldest record that the
 // store has and that this daemon has not read.
 func (p *Pins) readStreams(ctx context.Context) error {
--- a/versionpin/simulation_test.go
+++ b/versionpin/simulation_test.go
@@ -96,6 +96,7 @@
 	d.list = copyOf(s.serving)
 	s.daemons[i] = d
 	s.work.Go(func() { d.Run(d.ctx); d.Events.Close() })
+	s.work.Go(d.follow)
 	s.work.Go(func() {
 		for d.ctx.Err() == nil {
 			s.mu.Lock()
@@ -107,6 +108,24 @@
 	})
 }
 
+// follow passes the topic of versions on to a daemon.
+func (d *simDaemon) follow() {
+	for d.ctx.Err() == nil {
+		begin := time.Now()
+		page, err := d.Topics.Newest(d.ctx, d.VersionTopic)
+		if err != nil {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		for end := page.End; err == nil && page.End == end; begin = time.Now() {
+			d.SetVersions(page, begin)
+			var next hosting.KeyedPage
+			next, err = d.Topics.Follow(d.ctx, d.VersionTopic, end, 8*time.Second)
+			page.End = next.End
+		}
+	}
+}
+
 func copyOf(set map[Version]bool) map[Version]bool {
 	out := map[Version]bool{}
 	for v := range set {
--- a/versionpin/store_test.go
+++ b/versionpin/store_test.go
@@ -50,7 +50,7 @@
 	fakeCounts
 }
 
-// fakeCounts counts calls, and the bytes of the values in them.
+// fakeCounts counts calls that don't wait for records, and the bytes of the values.
 type fakeCounts struct{ writes, reads, written, read int }
 
 func newFakeStore() *fakeStore {
@@ -125,7 +125,9 @@
 	}
 	timeout, late := time.After(wait), time.Duration(rand.IntN(300)-200)*time.Millisecond
 	c.set(func() {
-		c.reads++
+		if wait == 0 {
+			c.reads++
+		}
 		if c.latePolls == c.vm {
 			late = time.Second
 		}
--- a/versionpin/versions.go
+++ b/versionpin/versions.go
@@ -19,8 +19,8 @@
 	// removeAfter is the time for which a version is retiring before it is removed. All
 	// daemons that reach the store read the mark within it.
 	removeAfter = 30 * time.Second
-	// maxCarryAge is the age of the last read of a complete list up to which its versions
-	// are carried over to a new history. It exceeds the longest wait of a read.
+	// maxCarryAge is the age of the copy of a complete list up to which its versions are
+	// carried over to a new history.
 	maxCarryAge = 30 * time.Second
 	// carryAfter is the time after the begin of a new history from which on a daemon that
 	// has carried all versions over states that the list is complete. Servers and daemons
@@ -58,10 +58,10 @@
 	carried map[Version]bool
 	// serving holds the versions that servers have, as far as this daemon knows.
 	serving map[Version]bool
-	// readAt is the time of the last read.
+	// readAt is the last time at which the copy was known to be up to date.
 	readAt time.Time
-	// outdated holds the versions whose servers appeared when the last read was so old
-	// that they may have been removed since.
+	// outdated holds the versions whose servers appeared when the copy was so old that
+	// they may have been removed since.
 	outdated map[Version]bool
 	// unserved holds the time since which a listed version has had no server.
 	unserved map[Version]time.Time
@@ -89,8 +89,9 @@
 // History returns the present history of the store, or hosting.NoOffset.
 func (v *Versions) History() int64 { return v.history }
 
-// Replace applies the newest record of each key.
-func (v *Versions) Replace(now time.Time, page hosting.KeyedPage) {
+// Replace applies a copy of the topic with the newest record of each key. It was the
+// whole topic at the time at.
+func (v *Versions) Replace(now time.Time, page hosting.KeyedPage, at time.Time) {
 	if page.End < v.end {
 		return // The answer is older than what was read since.
 	}
@@ -104,13 +105,13 @@
 			delete(v.records, key)
 		}
 	}
-	v.apply(now, page)
+	v.apply(now, page, at)
 }
 
 // Apply applies the records that follow End.
 func (v *Versions) Apply(now time.Time, page hosting.KeyedPage) {
 	if v.end != hosting.NoOffset && hosting.History(page.End) == v.history {
-		v.apply(now, page)
+		v.apply(now, page, now)
 	}
 }
 
@@ -140,13 +141,17 @@
 	clear(v.unserved)
 }
 
-func (v *Versions) apply(now time.Time, page hosting.KeyedPage) {
+func (v *Versions) apply(now time.Time, page hosting.KeyedPage, at time.Time) {
 	for _, r := range page.Records {
 		v.put(now, r)
 	}
 	v.end = max(v.end, page.End)
-	v.readAt = now
-	clear(v.outdated)
+	if at.After(v.readAt) {
+		v.readAt = at
+	}
+	if now.Sub(v.readAt) < removeAfter {
+		clear(v.outdated)
+	}
 }
 
 func (v *Versions) put(now time.Time, r hosting.KeyedRecord) {
--- a/versionpin/versions_test.go
+++ b/versionpin/versions_test.go
@@ -44,12 +44,12 @@
 	now := time.Now()
 	v1, v2 := Version{"llm", "v1"}, Version{"llm", "v2"}
 	v := NewVersions()
-	v.Replace(now, completeIn(listing(0, v1), 0))
+	v.Replace(now, completeIn(listing(0, v1), 0), now)
 	g.Expect(only(v)).To(Equal("v1"))
 	v.SetServing(now, map[Version]bool{v1: true, v2: true}, true)
 
 	now = now.Add(2 * maxCarryAge)
-	v.Replace(now, completeIn(listing(1, v1), 0))
+	v.Replace(now, completeIn(listing(1, v1), 0), now)
 	g.Expect(only(v)).To(BeEmpty())
 	g.Expect(v.Due(now.Add(time.Hour))).To(BeEmpty(), "a version is not confirmed")
 	v.SetServing(now, map[Version]bool{v1: true}, true)
@@ -60,7 +60,7 @@
 	g.Expect(v.Written(now, due[0].Record, due[0].At)).To(BeTrue())
 	g.Expect(only(v)).To(Equal("v1"))
 
-	v.Replace(now, listing(2))
+	v.Replace(now, listing(2), now)
 	_, starts := v.StartsEmpty()
 	g.Expect(starts).To(BeFalse(), "the copy is from before the first record")
 }
@@ -72,13 +72,13 @@
 	now := time.Now()
 	v1, v2 := Version{"llm", "v1"}, Version{"llm", "v2"}
 	v := NewVersions()
-	v.Replace(now, completeIn(listing(1, v1, v2), 1))
+	v.Replace(now, completeIn(listing(1, v1, v2), 1), now)
 	v.SetServing(now, map[Version]bool{v1: true}, true)
-	v.Replace(now, completeIn(listing(2, v1), 1))
+	v.Replace(now, completeIn(listing(2, v1), 1), now)
 	g.Expect(v.Unconfirmed()).To(ConsistOf(v2))
 	g.Expect(v.Due(now.Add(carryAfter))).To(BeEmpty())
 	v.Lost(now, 3)
-	v.Replace(now, completeIn(listing(3), 1))
+	v.Replace(now, completeIn(listing(3), 1), now)
 	g.Expect(v.Unconfirmed()).To(ConsistOf(v1, v2))
 	for _, version := range v.Unconfirmed() {
 		g.Expect(v.Written(now, versionPut(version, stateServing), v.End())).To(BeTrue())
@@ -98,7 +98,7 @@
 	v1, v2 := Version{"llm", "v1"}, Version{"llm", "v2"}
 	v := NewVersions()
 	v.LongestStream = 5 * time.Second
-	v.Replace(now, completeIn(listing(0, v1, v2), 0))
+	v.Replace(now, completeIn(listing(0, v1, v2), 0), now)
 	v.SetServing(now, map[Version]bool{v2: true}, true)
 	retire := now.Add(retireMargin + 2*v.LongestStream)
 	g.Expect(v.Due(retire.Add(-time.Millisecond))).To(BeEmpty())
@@ -125,7 +125,7 @@
 	now := time.Now()
 	v1, v2 := Version{"llm", "v1"}, Version{"llm", "v2"}
 	v := NewVersions()
-	v.Replace(now, completeIn(listing(0, v1, v2), 0))
+	v.Replace(now, completeIn(listing(0, v1, v2), 0), now)
 	v.SetServing(now, map[Version]bool{v1: true}, true)
 	v.SetServing(now.Add(removeAfter), map[Version]bool{v1: true, v2: true}, true)
 	g.Expect(v.Confirmed(v1)).To(BeTrue())
@@ -252,3 +252,22 @@
 		g.Expect(s.daemons[1].Lookup(t.Context(), simService, "r1")).To(Equal("v1"))
 	})
 }
+
+// Guards against a daemon that begins no stream while the store turns it away, although
+// its peers know the versions.
+func TestListOfPeersConfirmsVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSimulation(t, 1)
+		defer s.stop()
+		s.store.set(func() { s.store.cut["vm-0"] = true })
+		s.kill(0)
+		s.start(0)
+		d := s.daemons[0]
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		g.Expect(d.Confirm(ctx, simService, "v1")).NotTo(Succeed())
+		d.SetVersions(listing(1, Version{simService, "v1"}), time.Now())
+		g.Expect(d.Confirm(t.Context(), simService, "v1")).To(Succeed())
+	})
+}
