--- a/versionpin/pins.go
+++ b/versionpin/pins.go
@@ -35,6 +35,8 @@
 	lookupTimeout = 1500 * time.Millisecond
 	// tickInterval is the time between two checks of what is due.
 	tickInterval = time.Second
+	// writersPerTick is the mean number of daemons that make a change that is due.
+	writersPerTick = 3
 )
 
 var (
@@ -63,7 +65,8 @@
 }
 
 // Pins remembers the versions of streams. It implements dispatch.VersionPins and is
-// safe for concurrent use. It works while Run runs.
+// safe for concurrent use. It works while Run runs, with SetVersions and SetServing
+// called at least once a second.
 type Pins struct {
 	Config
 	work        context.Context
@@ -99,19 +102,17 @@
 // Run keeps the copies of the topics until the context ends.
 func (p *Pins) Run(ctx context.Context) {
 	defer p.stop()
-	var running sync.WaitGroup
-	running.Go(func() { p.followVersions(ctx) })
-	running.Go(func() { p.flush(ctx) })
+	var flushing sync.WaitGroup
+	flushing.Go(func() { p.flush(ctx) })
 	for ctx.Err() == nil {
 		sleep(ctx, tickInterval)
 		p.tick(ctx)
 	}
-	running.Wait()
+	flushing.Wait()
 }
 
 // SetServing sets the versions that servers have and the longest time that a stream may
-// take. fresh is set if the list of servers is known to be up to date. It is to be called
-// at least once a second.
+// take. fresh is set if the list of servers is known to be up to date.
 func (p *Pins) SetServing(serving map[Version]bool, longestStream time.Duration, fresh bool) {
 	p.changeVersions(func(now time.Time) {
 		p.versions.LongestStream, p.streams.LongestStream = longestStream, longestStream
@@ -239,7 +240,7 @@
 	p.mu.Lock()
 	due := p.versions.Due(time.Now())
 	p.mu.Unlock()
-	if len(due) == 0 || rand.N(max(p.Daemons(), 1)) > 0 {
+	if len(due) == 0 || rand.N(max(p.Daemons(), 1)) >= writersPerTick {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, readTimeout)
