--- a/dispatch/continuation_test.go
+++ b/dispatch/continuation_test.go
@@ -21,8 +21,9 @@
 	}
 	recorder := event.NewRecorder(hlc.New(time.Now), "test", nil, logger)
 	defer recorder.Close()
-	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Usage: f, Events: recorder, Shutdown: NewShutdown()}
-	r := &Request{ID: "r1", Route: &route, Service: &catalog.Service{Name: "s"}, Deadline: time.Now().Add(time.Minute), LastEvent: lastEvent}
+	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Versions: (*pinsFake)(f), Usage: f, Events: recorder, Shutdown: NewShutdown()}
+	r := &Request{ID: "r1", Route: &route, Service: &catalog.Service{Name: "s"}, Deadline: time.Now().Add(time.Minute), LastEvent: lastEvent, Resumes: "r0"}
+	f.beganAt = map[string]string{"r0": ""}
 	d.Serve(context.Background(), r, &f.answer)
 }
 
