backend: closing idle connections leaves one that a request has just taken

After a failed call, the idle connections to the server are closed. One that was taken by another request between the check and the close was closed with that request written: a request that must run once at most then ended with an unknown outcome.

Change: the check and the mark that stops all writes are one step.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -224,11 +224,18 @@
 	_ = c.SetReadDeadline(deadline)
 }
 
-// idle reports whether no exchange owns the connection.
-func (c *trackedConn) idle() bool {
+// closeIfIdle closes the connection if no exchange owns it. An exchange that takes it
+// meanwhile writes nothing.
+func (c *trackedConn) closeIfIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.owner == nil
+	idle := c.owner == nil
+	if idle {
+		c.markAborted()
+	}
+	c.mu.Unlock()
+	if idle {
+		_ = c.Close() // The server may be gone.
+	}
 }
 
 // connSet holds the open connections by address.
@@ -276,9 +283,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		if c.idle() {
-			c.abort()
-		}
+		c.closeIfIdle()
 	}
 }
 
