ingress: a planned stop tells clients that their connection closes

Callers: a planned stop of mimosakeel serve did not end while a client sent its next request at once, and such a client was answered by a daemon that takes no work.

Cause: Server.Stop closes a connection only when nothing arrives for 5 ms, and only the daemon of the users' platform said Connection: close.

Change: Server says so itself from the call of Stop on.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -20,6 +20,8 @@
 	listener net.Listener
 	// open is the number of open connections.
 	open atomic.Int64
+	// stopping is set once Stop has been called.
+	stopping atomic.Bool
 	// served is closed once Serve has returned and accepts no connection any more.
 	served chan struct{}
 }
@@ -37,6 +39,13 @@
 		}
 	}
 	gate.Attach(inner)
+	handler := inner.Handler
+	inner.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	return s
 }
 
@@ -46,9 +55,11 @@
 	return s.Server.Serve(s.listener)
 }
 
-// Stop accepts no further connections, closes idle ones and the others once they are
-// idle, and waits until all are closed or the context ends. Serve must have been called.
+// Stop accepts no further connections, closes idle ones and the others after their next
+// request or once they are idle, and waits until all are closed or the context ends. Serve
+// must have been called.
 func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
 	err := s.listener.Close()
 	poll := time.NewTicker(closePollInterval)
 	defer poll.Stop()
