versionpin: batches of a large fleet keep a distance to the store's limit

60 daemons wrote 202 batches a second at most, the bound of the test is 200 (half of what the store allows): the interval of a daemon is now 6 ms for each daemon.

--- a/versionpin/pins.go
+++ b/versionpin/pins.go
@@ -26,7 +26,7 @@
 	// flushInterval is the minimum time between two batches of a daemon, and
 	// flushPerDaemon the same for each daemon of the fleet.
 	flushInterval  = 100 * time.Millisecond
-	flushPerDaemon = 5 * time.Millisecond
+	flushPerDaemon = 6 * time.Millisecond
 	// maxFlushRetry is the longest pause after a failed batch.
 	maxFlushRetry = 2 * time.Second
 	// flushMargin is the time that a batch takes to reach the store.
