peer: tunnels, which carry the bytes of a connection through another daemon

Cause: daemons exchange messages and calls only, so that one without a path to the servers can't use that of another. Change: a stream of its own QUIC connection carries bytes in both directions.

--- a/peer/link.go
+++ b/peer/link.go
@@ -16,8 +16,9 @@
 // link is the outgoing connection to one address. It dials on first use and
 // again after a failure.
 type link struct {
-	node *Node
-	addr string
+	node   *Node
+	addr   string
+	config *quic.Config
 
 	// dialMu is held while dialing, so that concurrent users share one dial.
 	dialMu sync.Mutex
@@ -29,6 +30,8 @@
 	conn *quic.Conn
 	// messages is the stream of one-way messages on conn; nil before the first.
 	messages *quic.SendStream
+	// open is the number of open tunnels.
+	open int
 }
 
 // connection returns the open connection and dials if there is none.
@@ -41,7 +44,7 @@
 	if conn := l.live(); conn != nil {
 		return conn, nil
 	}
-	conn, err := l.node.dial(ctx, l.addr)
+	conn, err := l.node.dial(ctx, l.addr, l.config)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -66,6 +66,8 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	// tunnels holds the connections that carry tunnels.
+	tunnels map[string]*link
 }
 
 // Listen opens the UDP address and serves incoming connections until Close.
@@ -93,6 +95,7 @@
 		ctx:       ctx,
 		stop:      stop,
 		links:     map[string]*link{},
+		tunnels:   map[string]*link{},
 	}
 	n.wg.Go(n.accept)
 	return n, nil
@@ -105,6 +108,9 @@
 		KeepAlivePeriod:       keepAlivePeriod,
 		MaxIncomingStreams:    maxPeerStreams,
 		MaxIncomingUniStreams: maxPeerStreams,
+
+		MaxStreamReceiveWindow:     tunnelStreamWindow,
+		MaxConnectionReceiveWindow: tunnelConnWindow,
 	}
 }
 
@@ -199,6 +205,9 @@
 		}
 		return
 	}
+	if n.serveTunnel(conn, stream, vm, request) {
+		return
+	}
 	reply, err := n.handler.HandleCall(stream.Context(), vm, request)
 	if err != nil {
 		reply = &RemoteError{Text: err.Error()}
@@ -248,14 +257,17 @@
 	return remote
 }
 
-// Forget closes the connection to an address whose VM is gone.
+// Forget closes the connections to an address whose VM is gone.
 func (n *Node) Forget(addr string) {
 	n.mu.Lock()
-	l := n.links[addr]
+	closing := []*link{n.links[addr], n.tunnels[addr]}
 	delete(n.links, addr)
+	delete(n.tunnels, addr)
 	n.mu.Unlock()
-	if l != nil {
-		l.reset()
+	for _, l := range closing {
+		if l != nil {
+			l.reset()
+		}
 	}
 }
 
@@ -266,20 +278,20 @@
 	defer n.mu.Unlock()
 	l, ok := n.links[addr]
 	if !ok {
-		l = &link{node: n, addr: addr}
+		l = &link{node: n, addr: addr, config: quicConfig()}
 		n.links[addr] = l
 	}
 	return l
 }
 
-func (n *Node) dial(ctx context.Context, addr string) (*quic.Conn, error) {
+func (n *Node) dial(ctx context.Context, addr string, config *quic.Config) (*quic.Conn, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "resolve")
 	}
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	conn, err := n.transport.Dial(ctx, udpAddr, n.keys.clientConfig(), quicConfig())
+	conn, err := n.transport.Dial(ctx, udpAddr, n.keys.clientConfig(), config)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
