edge: connections to servers go through another daemon where the own path is broken

Cause: a connection that can't be opened was taken for a fault of the server. Change: package reach races the own path with other daemons that reach servers (heartbeats tell which), remembers broken paths, probes them every 250 ms, and blames a server only if a daemon that reaches others can't connect either. A broken connection is reported as server_down after such a check only. Paths that lose packets silently are found by probing after 250 ms without a byte; calls that may be repeated then fail at once, idle connections are dropped. Requests, runs, limits, versions and usage stay with the daemon that took the request in. Orders to engines use the own path only: they count by machine. Log lines path_broken, path_healed, paths_lost, paths_back, relay_failed.

--- a/backend/call.go
+++ b/backend/call.go
@@ -43,13 +43,24 @@
 	FailureCanceled
 	// FailureCheck means that the caller's check before the first write failed.
 	FailureCheck
+	// FailurePath means that the path failed, which says nothing about the server.
+	FailurePath
 )
 
 // String returns the name of the failure in logs.
 func (f Failure) String() string {
-	return [...]string{"connect", "broken", "silent", "status", "garbage", "canceled", "guard"}[f]
+	return [...]string{"connect", "broken", "silent", "status", "garbage", "canceled", "guard", "no_path"}[f]
 }
 
+// PathError is an error of the path to a server. Connections and functions that open them
+// return it if the failure says nothing about the server.
+type PathError struct{ Err error }
+
+func (e *PathError) Error() string { return "no path to the server: " + e.Err.Error() }
+
+// Unwrap hides errors of the connection, which readers take for errors of the server.
+func (e *PathError) Unwrap() error { return nil }
+
 // CallError describes a failed call to a backend server.
 type CallError struct {
 	Failure Failure
@@ -159,6 +170,7 @@
 // classify returns the kind of failure of an aborted exchange.
 func (x *exchange) classify(caller context.Context, err error) Failure {
 	var op *net.OpError
+	var path *PathError
 	switch {
 	case x.checkErr != nil:
 		return FailureCheck
@@ -166,6 +178,8 @@
 		return FailureReadTimeout
 	case caller.Err() != nil:
 		return FailureCanceled
+	case x.pathLost, errors.As(err, &path):
+		return FailurePath
 	case errors.As(err, &op) && op.Op == "dial":
 		return FailureConnect
 	}
--- a/backend/client.go
+++ b/backend/client.go
@@ -34,6 +34,9 @@
 	// Check runs after the connection is established and immediately before the
 	// first byte is written; if it fails, nothing is sent. It may be nil.
 	Check func() error
+	// Repeatable is set if the caller repeats the call elsewhere. Such a call fails as soon
+	// as the path to the server is known to be lost.
+	Repeatable bool
 	// WriteLimit bounds the time from the start of Check to the end of the write; 0
 	// means no limit.
 	WriteLimit time.Duration
@@ -55,6 +58,7 @@
 		fresh:             o.Fresh,
 		check:             o.Check,
 		writeLimit:        o.WriteLimit,
+		repeatable:        o.Repeatable,
 	}
 	out := &Response{exchange: x, ctx: req.Context()}
 	if o.Accept != nil {
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -41,6 +41,12 @@
 	requested atomic.Bool
 	// attached is set from attach to the first byte of the request.
 	attached atomic.Bool
+	// lastRead is the time of the last byte from the backend, in Unix nanoseconds.
+	lastRead atomic.Int64
+	// pathLost is set once the path to the backend failed.
+	pathLost atomic.Bool
+	// retired is set if the connection must not be used for another exchange.
+	retired atomic.Bool
 
 	// readMu guards reading, which is set while net/http waits for bytes. readChanged
 	// signals its changes and aborted.
@@ -89,9 +95,21 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
+	if c.owner != nil && n > 0 {
+		c.owner.wroteAt = time.Now()
+	}
+	c.notePath(err)
 	return n, err
 }
 
+// notePath records a failure of the path.
+func (c *trackedConn) notePath(err error) {
+	var path *PathError
+	if errors.As(err, &path) {
+		c.pathLost.Store(true)
+	}
+}
+
 // runCheck sets the write deadline before it runs the check, so that a process
 // that is paused after the check does not deliver the request late.
 func (c *trackedConn) runCheck() error {
@@ -129,6 +147,11 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.timedOut.Store(true)
 	}
+	c.notePath(err)
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+		c.set.noteHeard(c)
+	}
 	if n > 0 && !c.requested.Load() {
 		_ = c.Close()
 		return 0, errUnsolicited
@@ -212,6 +235,9 @@
 	c.requested.Store(false)
 	c.setReadTimeout(0)
 	_ = c.SetWriteDeadline(time.Time{})
+	if c.retired.Load() {
+		_ = c.Close() // net/http opens another one.
+	}
 }
 
 // setReadTimeout sets the read timeout. It also applies to a read in progress.
@@ -242,6 +268,8 @@
 type connSet struct {
 	mu    sync.Mutex
 	conns map[string]map[*trackedConn]struct{}
+	// heard is called when bytes have arrived on a connection over the own path.
+	heard atomic.Pointer[func()]
 }
 
 func newConnSet() *connSet {
@@ -300,6 +328,10 @@
 	fresh      bool
 	check      func() error
 	writeLimit time.Duration
+	// repeatable is set if the caller repeats the call elsewhere once the path is lost.
+	repeatable bool
+	// wroteAt is the time of the last write. The connection's mu guards it.
+	wroteAt time.Time
 	// accept reports whether the connection may be used again after this response; nil
 	// means always.
 	accept func(*http.Response) bool
@@ -318,6 +350,7 @@
 	// timedOut and checkErr record why a connection failed. net/http may return
 	// the error of a retry that gotConn prevented instead.
 	timedOut bool
+	pathLost bool
 	checkErr error
 }
 
@@ -409,6 +442,7 @@
 		x.wrote = true
 	}
 	x.timedOut = x.timedOut || x.conn.timedOut.Load()
+	x.pathLost = x.pathLost || x.conn.pathLost.Load()
 	x.conn = nil
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -90,6 +90,8 @@
 	// mayHaveRun is set once an attempt failed after which the request may have
 	// run.
 	mayHaveRun bool
+	// unreached is the number of attempts that found no path to their server.
+	unreached int
 	// began is set once a backend server began to answer.
 	began bool
 	// attemptBegan is the time of the first event of the current attempt; zero before
@@ -152,7 +154,7 @@
 	result := Result{Reason: failed.Reason}
 	if ctx.Err() == nil && failed.Server != nil {
 		if !failed.Unfit {
-			result.Failed, result.Down = failed.Server, failed.Down
+			result.Failed, result.Down, result.Suspect = failed.Server, failed.Down, failed.Suspect
 		}
 		c.avoid = append(c.avoid, failed.Server.ID)
 		if failed.Lost {
@@ -160,6 +162,9 @@
 		}
 	}
 	c.Scheduler.Done(place, result)
+	if failed.Reason == backend.FailurePath.String() && !failed.Sent {
+		c.unreached++
+	}
 	if failed.Run != backend.RunNever {
 		c.mayHaveRun = true
 	}
@@ -223,6 +228,8 @@
 		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: budgetRetryAfter, Cause: failed}}
 	case failed.Reason == reasonQuarantined:
 		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: failed.RetryAfter, Cause: failed}}
+	case c.unreached >= maxUnreached:
+		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: unreachedRetryAfter, Cause: failed}}
 	case !c.mayRetry(failed.Run):
 		return outcome{failure: &Failure{Run: c.runState(), Reason: failed.Reason, RetryAfter: failedRetryAfter, Cause: failed}}
 	}
@@ -250,6 +257,12 @@
 	// budget is a sliding window, which under load allows another attempt within a
 	// fraction of a second.
 	budgetRetryAfter = 300 * time.Millisecond
+	// maxUnreached is the number of attempts without a path to their server after which the
+	// request is refused: this daemon and those that it may ask reach no servers.
+	maxUnreached = 3
+	// unreachedRetryAfter is the Retry-After value of such a request. Other daemons may
+	// reach the servers.
+	unreachedRetryAfter = 200 * time.Millisecond
 	// failedRetryAfter is the Retry-After value of a request that failed and may
 	// not be attempted again.
 	failedRetryAfter = 100 * time.Millisecond
@@ -439,7 +452,8 @@
 	out := &AttemptError{Run: backend.RunUnknown, Reason: backend.FailureBroken.String(), Sent: true, Err: err}
 	var failed *backend.CallError
 	if errors.As(err, &failed) {
-		out.Reason, out.Down, out.Lost = failed.Failure.String(), failed.Down(), failed.Down()
+		out.Reason, out.Suspect, out.Lost = failed.Failure.String(), failed.Down(), failed.Down()
+		out.Unfit = failed.Failure == backend.FailurePath
 	}
 	return out
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -215,8 +215,9 @@
 	Sent bool
 	// Server is the server that failed; nil if the failure isn't a server's.
 	Server *registry.Server
-	// Down is set if the attempt shows that the server takes no requests at all.
-	Down bool
+	// Down is set if the attempt shows that the server takes no requests at all, and
+	// Suspect if the connection broke, which may be due to the server or to the path.
+	Down, Suspect bool
 	// Unfit is set if the server is not at fault, but unfit for this request.
 	Unfit bool
 	// Lost is set if the connection ended after the request was written, without a
@@ -280,8 +281,9 @@
 	Reason string
 	// Failed is the server that failed; nil if the failure isn't a server's.
 	Failed *registry.Server
-	// Down is set if the failed server takes no requests at all.
-	Down bool
+	// Down is set if the failed server takes no requests at all, and Suspect if that has to
+	// be checked.
+	Down, Suspect bool
 }
 
 // Scheduler chooses backend servers.
--- a/edge/control.go
+++ b/edge/control.go
@@ -95,6 +95,10 @@
 	// schedulersChanged is called when pools have got another scheduler or a scheduler
 	// was restarted.
 	schedulersChanged func(now time.Time)
+	// relayState returns the RelayState of this daemon, and relayObserved records that of
+	// another one.
+	relayState    func() RelayState
+	relayObserved func(now time.Time, vm string, state RelayState)
 	// schedulerLeft is called when the process on a VM stops, has ended or was replaced.
 	schedulerLeft func(vm string)
 	// left holds the VMs for which schedulerLeft is called after the next publish.
@@ -162,6 +166,8 @@
 		workReported:      func(string, *WorkReport) {},
 		schedulersChanged: func(time.Time) {},
 		schedulerLeft:     func(string) {},
+		relayState:        func() RelayState { return relayNone },
+		relayObserved:     func(time.Time, string, RelayState) {},
 		peerEnds:          map[string]*[feedCount]int64{},
 	}
 	c.serversReplica.end.Store(hosting.NoOffset)
@@ -349,6 +355,7 @@
 		Stopping:    c.stopping,
 		Wall:        time.Now().UnixMilli(),
 		Lease:       c.duties.leaseObservation(),
+		Relay:       c.relayState(),
 	}
 	for _, vm := range a.Peers {
 		c.send(vm, heartbeat)
@@ -414,6 +421,7 @@
 	}
 	c.clock.Observe(from, time.UnixMilli(m.Wall))
 	c.duties.observeLease(m.Lease)
+	c.relayObserved(now, from, m.Relay)
 	c.pullMissing(now, from, m.Feeds)
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/mimosakeel/mimosakeel/metering"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/pool"
+	"github.com/mimosakeel/mimosakeel/reach"
 	"github.com/mimosakeel/mimosakeel/registry"
 	"github.com/mimosakeel/mimosakeel/replica"
 	"github.com/mimosakeel/mimosakeel/schedule"
@@ -58,9 +59,11 @@
 	Usage    UsageReports
 	Capacity hosting.Capacity
 	Engines  EngineOrders
-	// Dial opens connections to backend servers.
-	Dial   backend.DialFunc
-	Events *event.Recorder
+	// Dial opens connections to backend servers over the own path. Connections are those
+	// that requests use, which DialServer has opened; nil if they are not known.
+	Dial        backend.DialFunc
+	Connections Connections
+	Events      *event.Recorder
 	// ClientHandler returns the HTTP handler for clients.
 	ClientHandler func(d *Daemon) http.Handler
 }
@@ -76,6 +79,8 @@
 	node       *peer.Node
 	outboxes   *peer.Outboxes
 	limits     *serverLimits
+	dialer     *reach.Dialer
+	relays     *relays
 
 	customerLimits *customerLimits
 	counter        *metering.Counter
@@ -90,12 +95,23 @@
 // New returns a daemon. It starts no work before Run.
 func New(cfg Config) *Daemon {
 	s := cfg.Settings
-	d := &Daemon{Config: cfg}
+	d := &Daemon{Config: cfg, relays: newRelays()}
+	if d.Connections == nil {
+		d.Connections = noConnections{}
+	}
+	d.dialer = d.newDialer()
+	d.Connections.OnHeard(func() { d.dialer.Table.Heard(time.Now()) })
 	incarnation := s.VM + "." + strconv.FormatInt(time.Now().UnixMilli(), 36)
 	d.control = newControl(s.VM, incarnation, cfg.Source, cfg.Events, newMemberTable())
 	d.control.pools.scheduling = s.Scheduling
 	d.control.send = d.send
 	d.control.disconnect = d.disconnect
+	d.control.relayState = d.relayState
+	d.control.relayObserved = func(now time.Time, vm string, state RelayState) {
+		if d.relays.observe(now, vm, state) {
+			d.Connections.RetireRelayed("", vm)
+		}
+	}
 	d.control.feeds = d.newFeeds()
 	d.control.host = schedule.NewHost(pool.DefaultConfig(), d.send)
 	d.grants = newGrantClient(s.VM, s.FailureDomain)
@@ -103,6 +119,7 @@
 	d.grants.server = d.server
 	d.grants.send = d.send
 	d.grants.serversFields, d.grants.events = d.control.serversReplica.fields, cfg.Events
+	d.grants.isDown = d.isDown
 	d.grants.noteCache = func(pool string, runners []string, blocks []uint64) {
 		d.control.emit(controlTask{run: func(now time.Time) { d.control.host.NoteCache(now, pool, runners, blocks) }})
 	}
@@ -110,7 +127,7 @@
 	d.clock = metering.NewClock(bootNow, time.Now)
 	d.control.clock = d.clock
 	guard := newContentGuard(d.clock.Now)
-	guard.dial = cfg.Dial
+	guard.dial = d.DialServer
 	d.control.quarantine = newQuarantineControl(d.control, s.Quarantine, guard)
 	guard.report = func(m *CrashReport) {
 		d.control.emit(controlTask{run: func(now time.Time) { d.control.quarantine.report(now, m) }})
@@ -340,6 +357,7 @@
 	d.control.duties.ctx = work
 	d.control.quarantine.put = func(r hosting.KeyedRecord) { go d.putQuarantine(work, r) }
 	go d.versions.Run(work)
+	go d.watchPaths(work)
 	go d.control.run(work)
 	for _, f := range d.control.feeds {
 		go f.follower.run(work)
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -60,6 +60,8 @@
 	// serversFields returns the version and age of the list of servers, for logs.
 	serversFields func() []event.Field
 	events        *event.Recorder
+	// isDown reports whether a server takes no connections.
+	isDown func(server *registry.Server) bool
 
 	sequence atomic.Uint64
 	mu       sync.Mutex
@@ -101,6 +103,7 @@
 		vm:            vm,
 		domain:        domain,
 		serversFields: func() []event.Field { return nil },
+		isDown:        func(*registry.Server) bool { return true },
 		waiting:       map[string]*waitingGrant{},
 		backoffUntil:  map[string]time.Time{},
 	}
@@ -365,11 +368,25 @@
 
 // Done implements dispatch.Scheduler.
 func (g *grantClient) Done(p *dispatch.Placement, r dispatch.Result) {
-	down := ""
-	if r.Failed != nil && r.Down {
-		down = r.Failed.ID
+	t := p.Ticket.(*ticket)
+	switch {
+	case r.Failed == nil, !r.Down && !r.Suspect:
+		g.release(t, "")
+	case r.Down:
+		g.release(t, r.Failed.ID)
+	default:
+		go g.releaseChecked(t, r.Failed)
+	}
+}
+
+// releaseChecked releases a ticket after a connection broke. The scheduler withholds the
+// server from all daemons only if it takes no new connection either.
+func (g *grantClient) releaseChecked(t *ticket, server *registry.Server) {
+	if g.isDown(server) {
+		g.release(t, server.ID)
+		return
 	}
-	g.release(p.Ticket.(*ticket), down)
+	g.release(t, "")
 }
 
 func (g *grantClient) release(t *ticket, down string) {
--- a/edge/message.go
+++ b/edge/message.go
@@ -29,6 +29,8 @@
 	kindSlice         peer.Kind = 44
 	kindWorkReport    peer.Kind = 46
 	kindPoolDemand    peer.Kind = 45
+	kindRelayRequest  peer.Kind = 47
+	kindRelayReply    peer.Kind = 48
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -44,6 +46,8 @@
 	Wall int64 `cbor:"6,keyasint"`
 	// Lease is the sender's observation of the lease.
 	Lease *leaseObservation `cbor:"7,keyasint,omitempty"`
+	// Relay says whether the sender opens connections to servers for others.
+	Relay RelayState `cbor:"8,keyasint,omitempty"`
 }
 
 // UsageCounts carries the usage counts of one process, which need not be the
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -60,6 +60,11 @@
 	})
 	set.NewGauge("mimosakeel_edge_inbox_length", func() float64 { return float64(len(d.control.inbox)) })
 	set.NewGauge("mimosakeel_edge_events_dropped", func() float64 { return float64(d.Events.Dropped()) })
+	set.NewGauge("mimosakeel_edge_paths_broken", func() float64 {
+		_, broken := d.dialer.Table.Counts()
+		return float64(broken)
+	})
+	set.NewGauge("mimosakeel_edge_relayed_connections", func() float64 { return float64(relayedOpen.Load()) })
 	d.ingress.Metrics(set)
 	set.NewGauge("mimosakeel_edge_cost_servers", func() float64 {
 		servers, _ := d.plain.counts()
--- /dev/null
+++ b/edge/relay.go
@@ -0,0 +1,336 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/mimosakeel/mimosakeel/backend"
+	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/member"
+	"github.com/mimosakeel/mimosakeel/peer"
+	"github.com/mimosakeel/mimosakeel/reach"
+)
+
+const (
+	// maxRelayed bounds the connections that a daemon relays for others.
+	maxRelayed = 512
+	// relayDialTimeout bounds the opening of a relayed connection.
+	relayDialTimeout = 200 * time.Millisecond
+	// relayBufferBytes is the size of the buffer for each direction.
+	relayBufferBytes = 16 << 10
+	// relayStale is the age of a heartbeat from which on its sender is not asked.
+	relayStale = 3*member.HeartbeatInterval + 100*time.Millisecond
+	// relayForget is the age of a heartbeat from which on its sender is forgotten.
+	relayForget = time.Minute
+	// relayBackoff is the time for which a daemon that failed as a relay is not asked.
+	relayBackoff = time.Second
+)
+
+var (
+	relayedOpen    atomic.Int64
+	relayedTotal   = metrics.NewCounter(`mimosakeel_edge_relayed_connections_total{result="opened"}`)
+	relayedRefused = metrics.NewCounter(`mimosakeel_edge_relayed_connections_total{result="refused"}`)
+	relayBuffers   = sync.Pool{New: func() any { b := make([]byte, relayBufferBytes); return &b }}
+)
+
+// RelayState says in a heartbeat whether its sender opens connections for others. Daemons
+// of earlier releases send none.
+type RelayState uint8
+
+const (
+	// relayNone is the state of a daemon that relays nothing.
+	relayNone RelayState = iota
+	// relayReady is the state of a daemon that reaches servers.
+	relayReady
+	// relayCut is the state of a daemon that has lost its own paths to servers.
+	relayCut
+)
+
+// RelayRequest asks a daemon to open a connection to a backend server.
+type RelayRequest struct {
+	Addr string `cbor:"1,keyasint"`
+}
+
+// RelayReply answers a RelayRequest. The bytes of the connection follow if Opened is set.
+type RelayReply struct {
+	Opened bool `cbor:"1,keyasint,omitempty"`
+	// Refused is set if the server's machine refused the connection.
+	Refused bool `cbor:"2,keyasint,omitempty"`
+	// Reaches is set if the sender opens connections to other servers.
+	Reaches bool   `cbor:"3,keyasint,omitempty"`
+	Error   string `cbor:"4,keyasint,omitempty"`
+}
+
+// MessageKind implements peer.Message.
+func (*RelayRequest) MessageKind() peer.Kind { return kindRelayRequest }
+
+// MessageKind implements peer.Message.
+func (*RelayReply) MessageKind() peer.Kind { return kindRelayReply }
+
+// relays knows the daemons that relay connections. It is safe for concurrent use.
+type relays struct {
+	mu    sync.Mutex
+	peers map[string]relayPeer
+}
+
+type relayPeer struct {
+	state RelayState
+	heard time.Time
+	// avoidUntil is the end of the back-off after a failure.
+	avoidUntil time.Time
+}
+
+func newRelays() *relays { return &relays{peers: map[string]relayPeer{}} }
+
+// observe records the state in a heartbeat. It reports whether the daemon has stopped
+// relaying.
+func (r *relays) observe(now time.Time, vm string, state RelayState) (stopped bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[vm]
+	stopped = p.state != relayNone && state == relayNone
+	p.state, p.heard = state, now
+	r.peers[vm] = p
+	return stopped
+}
+
+func (r *relays) failed(now time.Time, vm string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[vm]
+	p.avoidUntil = now.Add(relayBackoff)
+	r.peers[vm] = p
+}
+
+// usable returns the daemons that may be asked.
+func (r *relays) usable(now time.Time) (out []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for vm, p := range r.peers {
+		switch {
+		case now.Sub(p.heard) >= relayForget:
+			delete(r.peers, vm)
+		case p.state == relayReady && now.Sub(p.heard) < relayStale && now.After(p.avoidUntil):
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// rank orders the members that may be asked for a connection to a server in a failure
+// domain. Traffic crosses domains once if the relay is in that domain or in the own one.
+func (r *relays) rank(now time.Time, vm, own, server string, members map[string]memberEntry) []reach.Relay {
+	type ranked struct {
+		reach.Relay
+		distance, tie int
+	}
+	var list []ranked
+	for _, id := range r.usable(now) {
+		m, listed := members[id]
+		if !listed || id == vm {
+			continue
+		}
+		distance := 2
+		switch m.FailureDomain {
+		case server:
+			distance = 0
+		case own:
+			distance = 1
+		}
+		list = append(list, ranked{reach.Relay{VM: id, Addr: m.Addr}, distance, rand.Int()})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.tie, b.tie)) })
+	out := make([]reach.Relay, len(list))
+	for i := range list {
+		out[i] = list[i].Relay
+	}
+	return out
+}
+
+// newDialer returns the dialer for connections to servers.
+func (d *Daemon) newDialer() *reach.Dialer {
+	return &reach.Dialer{
+		Table:  reach.NewTable(),
+		Direct: d.Config.Dial,
+		Relays: func(addr string) []reach.Relay {
+			domain := ""
+			if s := d.control.servers.Load().atAddr(addr); s != nil {
+				domain = s.FailureDomain
+			}
+			return d.relays.rank(time.Now(), d.Settings.VM, d.Settings.FailureDomain, domain, d.control.memberTable.load())
+		},
+		Open: d.openRelayed,
+		OnBroken: func(addr string, silent bool, since time.Time) {
+			if silent {
+				d.pathLost(addr, since)
+			}
+		},
+		OnHealed: func(addr string) { d.Connections.RetireRelayed(addr, "") },
+		Events:   d.Events,
+	}
+}
+
+// DialServer opens a connection to a backend server, through another daemon if the own
+// path to it is broken.
+func (d *Daemon) DialServer(ctx context.Context, network, addr string) (net.Conn, error) {
+	return d.dialer.Dial(ctx, network, addr)
+}
+
+// quietBefore is the time before an attempt to open a connection for which an open one
+// has delivered nothing if the path loses its packets too.
+const quietBefore = 300 * time.Millisecond
+
+// pathLost ends the use of connections that no longer deliver.
+func (d *Daemon) pathLost(addr string, since time.Time) {
+	if d.dialer.Table.Cut() {
+		d.Connections.PathLost("", time.Now())
+		return
+	}
+	d.Connections.PathLost(addr, since.Add(-quietBefore))
+}
+
+// openRelayed opens a connection through another daemon.
+func (d *Daemon) openRelayed(ctx context.Context, relay reach.Relay, addr string) (net.Conn, error) {
+	var reply RelayReply
+	tunnel, err := d.node.Tunnel(ctx, relay.Addr, &RelayRequest{Addr: addr}, &reply)
+	if errors.Is(err, peer.ErrFarReset) {
+		return nil, &reach.RelayError{Text: "the server reset the new connection"}
+	}
+	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			d.relays.failed(time.Now(), relay.VM)
+			d.Events.Record(event.KindFault, "relay_failed", relay.VM, event.F("error", err.Error()), event.F("not_asked_for", relayBackoff.String()))
+		}
+		return nil, err
+	}
+	if !reply.Opened {
+		_ = tunnel.Close()
+		return nil, &reach.RelayError{Refused: reply.Refused, Reaches: reply.Reaches, Text: reply.Error}
+	}
+	return &relayedConn{Tunnel: tunnel, vm: relay.VM}, nil
+}
+
+// relayedConn is a connection to a server through another daemon.
+type relayedConn struct {
+	*peer.Tunnel
+	vm string
+}
+
+// RelayVM implements backend.Relayed.
+func (c *relayedConn) RelayVM() string { return c.vm }
+
+func (c *relayedConn) Read(p []byte) (int, error) {
+	n, err := c.Tunnel.Read(p)
+	return n, relayedError("read", err)
+}
+
+func (c *relayedConn) Write(p []byte) (int, error) {
+	n, err := c.Tunnel.Write(p)
+	return n, relayedError("write", err)
+}
+
+// relayedError tells resets by the server from failures of the way to it.
+func relayedError(op string, err error) error {
+	switch {
+	case errors.Is(err, peer.ErrFarReset):
+		return &net.OpError{Op: op, Net: "tcp", Err: syscall.ECONNRESET}
+	case errors.Is(err, peer.ErrTunnelLost):
+		return &backend.PathError{Err: err}
+	}
+	return err
+}
+
+// OpenTunnel implements peer.TunnelHandler. It connects to listed servers only, and only
+// over the own path, so that no connection passes through two daemons.
+func (d *Daemon) OpenTunnel(ctx context.Context, vm string, f peer.Frame) (peer.Message, func(*peer.Tunnel), bool) {
+	if f.Kind != kindRelayRequest {
+		return nil, nil, false
+	}
+	conn, err := d.dialForOther(ctx, f)
+	if err != nil {
+		relayedRefused.Inc()
+		return &RelayReply{Refused: errors.Is(err, syscall.ECONNREFUSED), Reaches: d.dialer.Table.Reaches(), Error: err.Error()}, nil, true
+	}
+	relayedTotal.Inc()
+	relayedOpen.Add(1)
+	return &RelayReply{Opened: true, Reaches: true}, func(t *peer.Tunnel) {
+		defer relayedOpen.Add(-1)
+		relayBytes(t, conn)
+	}, true
+}
+
+func (d *Daemon) dialForOther(ctx context.Context, f peer.Frame) (net.Conn, error) {
+	var request RelayRequest
+	if err := f.Decode(&request); err != nil {
+		return nil, err
+	}
+	switch {
+	case d.stopping.Load():
+		return nil, eris.New("the daemon is stopping")
+	case relayedOpen.Load() >= maxRelayed:
+		return nil, eris.New("too many connections are relayed")
+	case d.control.servers.Load().atAddr(request.Addr) == nil:
+		return nil, eris.Errorf("no server is listed at %s", request.Addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
+	defer cancel()
+	conn, err := d.Config.Dial(ctx, "tcp", request.Addr)
+	if err != nil {
+		d.dialer.Table.Failed(time.Now(), request.Addr)
+		return nil, err
+	}
+	d.dialer.Table.Opened(time.Now(), request.Addr)
+	return conn, nil
+}
+
+// relayBytes passes bytes on in both directions until both have ended.
+func relayBytes(t *peer.Tunnel, server net.Conn) {
+	fromServer := make(chan struct{})
+	go func() {
+		defer close(fromServer)
+		switch err := copyBytes(t, server); {
+		case err == nil:
+			_ = t.CloseWrite() // The other daemon closes the tunnel when it has read the end.
+		case errors.Is(err, syscall.ECONNRESET):
+			t.ResetFar()
+		default:
+			_ = t.Close()
+		}
+	}()
+	// An end of the bytes is no half-close: HTTP clients close both directions at once.
+	_ = copyBytes(server, t)
+	_ = server.Close()
+	_ = t.Close()
+	<-fromServer
+}
+
+func copyBytes(to io.Writer, from io.Reader) error {
+	buffer := relayBuffers.Get().(*[]byte)
+	defer relayBuffers.Put(buffer)
+	// The wrappers keep io from using buffers of its own.
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, *buffer)
+	return err
+}
+
+// relayState returns the state that heartbeats announce.
+func (d *Daemon) relayState() RelayState {
+	switch {
+	case d.stopping.Load():
+		return relayNone
+	case d.dialer.Table.Reaches():
+		return relayReady
+	}
+	return relayCut
+}
--- a/edge/server_view.go
+++ b/edge/server_view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -21,7 +22,9 @@
 	parts [serverViewParts]map[string]*registry.Server
 	// services holds the servers of each service in the order of their IDs.
 	services map[string][]*registry.Server
-	count    int
+	// addrs holds the servers by address. It is built when it is first needed.
+	addrs func() map[string]*registry.Server
+	count int
 }
 
 func serverViewPart(id string) int { return int(xxhash.Sum64String(id) % serverViewParts) }
@@ -32,6 +35,24 @@
 // ofService returns the servers of a service. The caller must not change the slice.
 func (v *serverView) ofService(name string) []*registry.Server { return v.services[name] }
 
+// atAddr returns the server at an address, or nil.
+func (v *serverView) atAddr(addr string) *registry.Server {
+	if v.addrs == nil {
+		return nil
+	}
+	return v.addrs()[addr]
+}
+
+func (v *serverView) byAddr() map[string]*registry.Server {
+	out := make(map[string]*registry.Server, v.count)
+	for _, part := range v.parts {
+		for _, s := range part {
+			out[s.Addr] = s
+		}
+	}
+	return out
+}
+
 // len returns the number of servers.
 func (v *serverView) len() int { return v.count }
 
@@ -74,6 +95,7 @@
 		}
 		next.services[service] = merged
 	}
+	next.addrs = sync.OnceValue(next.byAddr)
 	return &next
 }
 
