--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -66,7 +66,9 @@
 			}
 			return out
 		},
-		Open: func(ctx context.Context, r Relay, _ string) (net.Conn, error) { return answer(ctx, w.relay[r.VM], r.VM) },
+		Open: func(ctx context.Context, r Relay, _ string) (net.Conn, error) {
+			return answer(ctx, w.relay[r.VM], r.VM)
+		},
 		OnBroken: func(_ string, silent bool, _ time.Time) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
