edge: requests don't stay with a relay that loses its own paths or stops

What callers saw: none, found by tests of the relayed connections. Cause: the daemon that relays may be cut midway; its silence reached the daemon that owns the request only after a TCP time-out. A planned stop ended what it relayed with the process. Change: heartbeats of a relay that has lost its paths fail repeatable calls whose relayed connections are quiet. A stopping daemon relays nothing new, the others retire idle connections through it, and it waits for the rest within its grace.

--- a/backend/path.go
+++ b/backend/path.go
@@ -43,12 +43,12 @@
 	return out
 }
 
-// PathLost ends the use of connections over the own path to an address, or to all if it
-// is empty, on which nothing has arrived since a time. Calls that may be repeated fail,
-// the others go on.
-func (c *Client) PathLost(addr string, since time.Time) {
+// PathLost ends the use of connections to an address, or to all if it is empty, on which
+// nothing has arrived since a time: those that the daemon on a VM has opened, or those
+// over the own path if vm is empty. Calls that may be repeated fail, the others go on.
+func (c *Client) PathLost(vm, addr string, since time.Time) {
 	lost := c.transport.set.all(func(conn *trackedConn) bool {
-		return relayVM(conn.Conn) == "" && (addr == "" || dialAddress(conn.addr) == addr) && conn.lastRead.Load() < since.UnixNano()
+		return relayVM(conn.Conn) == vm && (addr == "" || dialAddress(conn.addr) == addr) && conn.lastRead.Load() < since.UnixNano()
 	})
 	for _, conn := range lost {
 		conn.losePath()
--- a/edge/drain.go
+++ b/edge/drain.go
@@ -49,6 +49,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), times.End.Add(drainAnswerTime))
 	defer cancel()
 	err := clients.Stop(ctx)
+	d.awaitRelayed(ctx)
 	d.Events.Record(event.KindConfig, "stopped", d.control.incarnation,
-		event.F("took", time.Since(begin).String()), event.F("cut", formatInt(d.active.Load())), event.F("error", errorText(err)))
+		event.F("took", time.Since(begin).String()), event.F("relaying", formatInt(d.relaying.Load())), event.F("cut", formatInt(d.active.Load())), event.F("error", errorText(err)))
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,6 +81,8 @@
 	limits     *serverLimits
 	dialer     *reach.Dialer
 	relays     *relays
+	// relaying is the number of connections that this daemon relays for others.
+	relaying atomic.Int64
 
 	customerLimits *customerLimits
 	counter        *metering.Counter
@@ -107,11 +109,7 @@
 	d.control.send = d.send
 	d.control.disconnect = d.disconnect
 	d.control.relayState = d.relayState
-	d.control.relayObserved = func(now time.Time, vm string, state RelayState) {
-		if d.relays.observe(now, vm, state) {
-			d.Connections.RetireRelayed("", vm)
-		}
-	}
+	d.control.relayObserved = d.relayObserved
 	d.control.feeds = d.newFeeds()
 	d.control.host = schedule.NewHost(pool.DefaultConfig(), d.send)
 	d.grants = newGrantClient(s.VM, s.FailureDomain)
--- a/edge/observe.go
+++ b/edge/observe.go
@@ -64,7 +64,7 @@
 		_, broken := d.dialer.Table.Counts()
 		return float64(broken)
 	})
-	set.NewGauge("mimosakeel_edge_relayed_connections", func() float64 { return float64(relayedOpen.Load()) })
+	set.NewGauge("mimosakeel_edge_relayed_connections", func() float64 { return float64(d.relaying.Load()) })
 	d.ingress.Metrics(set)
 	set.NewGauge("mimosakeel_edge_cost_servers", func() float64 {
 		servers, _ := d.plain.counts()
--- a/edge/paths.go
+++ b/edge/paths.go
@@ -25,9 +25,10 @@
 
 // Connections are the connections to backend servers that requests use.
 type Connections interface {
-	// PathLost ends the use of those over the own path to an address, or to all if it is
-	// empty, on which nothing has arrived since a time.
-	PathLost(addr string, since time.Time)
+	// PathLost ends the use of those to an address, or to all if it is empty, on which
+	// nothing has arrived since a time: those that the daemon on a VM has opened, or those
+	// over the own path if vm is empty.
+	PathLost(vm, addr string, since time.Time)
 	// RetireRelayed closes those to an address that other daemons have opened, or those
 	// of one daemon, once no request uses them. Empty arguments match all.
 	RetireRelayed(addr, vm string)
@@ -41,7 +42,7 @@
 // noConnections is used by daemons whose adapter does not name its connections.
 type noConnections struct{}
 
-func (noConnections) PathLost(string, time.Time)                {}
+func (noConnections) PathLost(string, string, time.Time)        {}
 func (noConnections) RetireRelayed(string, string)              {}
 func (noConnections) Waiting(time.Time, time.Duration) []string { return nil }
 func (noConnections) OnHeard(func())                            {}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -9,7 +9,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +27,8 @@
 	maxRelayed = 512
 	// relayDialTimeout bounds the opening of a relayed connection.
 	relayDialTimeout = 200 * time.Millisecond
+	// relayCheckInterval is the time between two checks whether a planned stop may end.
+	relayCheckInterval = 10 * time.Millisecond
 	// relayBufferBytes is the size of the buffer for each direction.
 	relayBufferBytes = 16 << 10
 	// relayStale is the age of a heartbeat from which on its sender is not asked.
@@ -39,7 +40,6 @@
 )
 
 var (
-	relayedOpen    atomic.Int64
 	relayedTotal   = metrics.NewCounter(`mimosakeel_edge_relayed_connections_total{result="opened"}`)
 	relayedRefused = metrics.NewCounter(`mimosakeel_edge_relayed_connections_total{result="refused"}`)
 	relayBuffers   = sync.Pool{New: func() any { b := make([]byte, relayBufferBytes); return &b }}
@@ -94,16 +94,24 @@
 
 func newRelays() *relays { return &relays{peers: map[string]relayPeer{}} }
 
-// observe records the state in a heartbeat. It reports whether the daemon has stopped
-// relaying.
-func (r *relays) observe(now time.Time, vm string, state RelayState) (stopped bool) {
+// observe records the state in a heartbeat.
+func (r *relays) observe(now time.Time, vm string, state RelayState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.peers[vm]
-	stopped = p.state != relayNone && state == relayNone
 	p.state, p.heard = state, now
 	r.peers[vm] = p
-	return stopped
+}
+
+// relayObserved applies the state in a heartbeat of another daemon.
+func (d *Daemon) relayObserved(now time.Time, vm string, state RelayState) {
+	d.relays.observe(now, vm, state)
+	switch state {
+	case relayNone:
+		d.Connections.RetireRelayed("", vm)
+	case relayCut:
+		d.Connections.PathLost(vm, "", now.Add(-quietBefore))
+	}
 }
 
 func (r *relays) failed(now time.Time, vm string) {
@@ -195,10 +203,10 @@
 // pathLost ends the use of connections that no longer deliver.
 func (d *Daemon) pathLost(addr string, since time.Time) {
 	if d.dialer.Table.Cut() {
-		d.Connections.PathLost("", time.Now())
+		d.Connections.PathLost("", "", time.Now())
 		return
 	}
-	d.Connections.PathLost(addr, since.Add(-quietBefore))
+	d.Connections.PathLost("", addr, since.Add(-quietBefore))
 }
 
 // openRelayed opens a connection through another daemon.
@@ -264,9 +272,9 @@
 		return &RelayReply{Refused: errors.Is(err, syscall.ECONNREFUSED), Reaches: d.dialer.Table.Reaches(), Error: err.Error()}, nil, true
 	}
 	relayedTotal.Inc()
-	relayedOpen.Add(1)
+	d.relaying.Add(1)
 	return &RelayReply{Opened: true, Reaches: true}, func(t *peer.Tunnel) {
-		defer relayedOpen.Add(-1)
+		defer d.relaying.Add(-1)
 		relayBytes(t, conn)
 	}, true
 }
@@ -279,7 +287,7 @@
 	switch {
 	case d.stopping.Load():
 		return nil, eris.New("the daemon is stopping")
-	case relayedOpen.Load() >= maxRelayed:
+	case d.relaying.Load() >= maxRelayed:
 		return nil, eris.New("too many connections are relayed")
 	case d.control.servers.Load().atAddr(request.Addr) == nil:
 		return nil, eris.Errorf("no server is listed at %s", request.Addr)
@@ -334,3 +342,17 @@
 	}
 	return relayCut
 }
+
+// awaitRelayed waits until the connections that this daemon relays are closed. The other
+// daemons close those that are idle when they hear of the stop.
+func (d *Daemon) awaitRelayed(ctx context.Context) {
+	tick := time.NewTicker(relayCheckInterval)
+	defer tick.Stop()
+	for d.relaying.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
