--- a/backend/dial.go
+++ b/backend/dial.go
@@ -21,12 +21,21 @@
 	// unacknowledged by the remote kernel (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
 	// KeepAliveInterval is the interval of the TCP keep-alive probes on an idle
-	// connection. The connection fails after unansweredProbes without an answer.
+	// connection. The connection fails at the first probe that is due after UserTimeout,
+	// whatever the number of unanswered probes.
 	KeepAliveInterval time.Duration
 }
 
+// ToleratedSilence returns the longest silence of the remote kernel that fails no
+// connection. Linux compares UserTimeout with the time since the last byte, which may be
+// up to an interval longer than the silence.
+func (c DialConfig) ToleratedSilence() time.Duration {
+	probes := max((c.UserTimeout+c.KeepAliveInterval-1)/c.KeepAliveInterval, 2)
+	return min((probes-1)*c.KeepAliveInterval, c.UserTimeout)
+}
+
 // unansweredProbes is the number of unanswered keep-alive probes after which the
-// kernel closes a connection.
+// kernel closes a connection without UserTimeout.
 const unansweredProbes = 2
 
 // NewDialer returns a function that opens TCP connections. The kernel fails a
