versionpin: other daemons hold copies of streams, and record them if theirs can't

What callers saw: streams of a machine that stands still during a release are refused elsewhere (LOST; ORDER held). Cause: with one version streams are not recorded, and when a second one appears only their own daemon can do it. State on which a later request depends lay in one process. Change: a daemon tells two others of the streams that it begins, and of those that it has recorded. A copy says what its daemon knew, so that nothing is guessed; no call to the store is added while one version serves.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -316,6 +316,10 @@
 		d.customerLimits.receive(from, slice)
 		return
 	}
+	if copies, ok := m.(*StreamCopies); ok {
+		d.versions.Receive(&copies.Copies)
+		return
+	}
 	d.control.emit(peerMessage{from: from, message: m, at: time.Now()})
 }
 
--- a/edge/message.go
+++ b/edge/message.go
@@ -31,6 +31,7 @@
 	kindPoolDemand    peer.Kind = 45
 	kindRelayRequest  peer.Kind = 47
 	kindRelayReply    peer.Kind = 48
+	kindStreamCopies  peer.Kind = 49
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -198,6 +199,8 @@
 		return &Slice{}
 	case kindWorkReport:
 		return &WorkReport{}
+	case kindStreamCopies:
+		return &StreamCopies{}
 	}
 	return schedule.NewMessage(kind)
 }
--- a/edge/version_pins.go
+++ b/edge/version_pins.go
@@ -5,6 +5,7 @@
 
 	"github.com/mimosakeel/mimosakeel/catalog"
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/versionpin"
 )
 
@@ -19,9 +20,31 @@
 		VM:           d.Settings.VM,
 		Events:       d.Events,
 		Daemons:      func() int { return len(d.control.memberTable.load()) },
+		Holders:      d.streamHolders,
+		Tell:         func(vm string, m *versionpin.Copies) { d.send(vm, &StreamCopies{Copies: *m}) },
 	})
 }
 
+// StreamCopies tells a daemon of streams that have begun at another one.
+type StreamCopies struct {
+	versionpin.Copies
+}
+
+// MessageKind implements peer.Message.
+func (*StreamCopies) MessageKind() peer.Kind { return kindStreamCopies }
+
+// streamHolders returns up to n other daemons that hold copies of this one's streams.
+func (d *Daemon) streamHolders(n int) []versionpin.Holder {
+	var out []versionpin.Holder
+	members := d.control.memberTable.load()
+	for _, vm := range d.control.view.Load().routable.Ranks("streams/"+d.Settings.VM, n+1) {
+		if vm != d.Settings.VM && len(out) < n {
+			out = append(out, versionpin.Holder{VM: vm, Process: vm + "/" + members[vm].Incarnation})
+		}
+	}
+	return out
+}
+
 // publishServing passes on the versions at which streams may begin, and the longest time
 // that a stream may take.
 func (c *control) publishServing(now time.Time) {
--- a/versionpin/pins.go
+++ b/versionpin/pins.go
@@ -62,6 +62,10 @@
 	Events                    *event.Recorder
 	// Daemons returns the number of daemons.
 	Daemons func() int
+	// Holders returns up to n daemons that hold copies of this one's streams, and Tell
+	// sends them a message without blocking.
+	Holders func(n int) []Holder
+	Tell    func(vm string, m *Copies)
 }
 
 // Pins remembers the versions of streams. It implements dispatch.VersionPins and is
@@ -72,6 +76,7 @@
 	work        context.Context
 	stop        context.CancelFunc
 	flushWake   chan struct{}
+	copyWake    chan struct{}
 	versionRead *sharedRead
 	streamRead  *sharedRead
 
@@ -91,8 +96,11 @@
 
 // New returns Pins that know nothing yet.
 func New(cfg Config) *Pins {
-	p := &Pins{Config: cfg, flushWake: make(chan struct{}, 1), versions: NewVersions(), streams: NewStreams(),
+	p := &Pins{Config: cfg, flushWake: make(chan struct{}, 1), copyWake: make(chan struct{}, 1), versions: NewVersions(), streams: NewStreams(),
 		streamsEnd: hosting.NoOffset, confirming: map[Version]*confirmation{}}
+	if p.Holders == nil {
+		p.Holders, p.Tell = func(int) []Holder { return nil }, func(string, *Copies) {}
+	}
 	p.work, p.stop = context.WithCancel(context.Background())
 	p.versionRead = &sharedRead{read: p.readVersions, spacing: p.readSpacing}
 	p.streamRead = &sharedRead{read: p.readStreams, spacing: p.readSpacing}
@@ -104,6 +112,7 @@
 	defer p.stop()
 	var flushing sync.WaitGroup
 	flushing.Go(func() { p.flush(ctx) })
+	flushing.Go(func() { p.copyStreams(ctx) })
 	for ctx.Err() == nil {
 		sleep(ctx, tickInterval)
 		p.tick(ctx)
@@ -254,16 +263,18 @@
 func (p *Pins) Pin(service, request, version string) {
 	p.mu.Lock()
 	p.streams.Pin(time.Now(), service, request, version)
-	wake := !p.versions.Single(service)
+	several := !p.versions.Single(service)
 	p.mu.Unlock()
-	if wake {
-		p.wakeFlush()
+	wake(p.copyWake)
+	if several {
+		wake(p.flushWake)
 	}
 }
 
-func (p *Pins) wakeFlush() {
+// wake wakes the goroutine that waits for a channel of capacity 1.
+func wake(c chan struct{}) {
 	select {
-	case p.flushWake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -278,12 +289,15 @@
 	failed, pause := false, time.Duration(0)
 	for ctx.Err() == nil {
 		p.mu.Lock()
-		pending := p.streams.Pending(p.needsRecord)
+		pending, idle := p.streams.Pending(p.needsRecord), tickInterval // Streams may be due again.
+		if p.streams.Holding(p.needsRecord) {
+			idle = copiesInterval
+		}
 		p.mu.Unlock()
 		if !pending {
 			select {
 			case <-p.flushWake:
-			case <-time.After(tickInterval): // Streams may be due again.
+			case <-time.After(idle):
 			case <-ctx.Done():
 			}
 		}
@@ -333,6 +347,7 @@
 	batchesWritten.Inc()
 	batchBytes.Add(len(value))
 	p.streams.Recorded(time.Now(), taken)
+	wake(p.copyWake)
 	return nil
 }
 
--- a/versionpin/read.go
+++ b/versionpin/read.go
@@ -126,7 +126,7 @@
 	p.mu.Lock()
 	change(time.Now())
 	p.mu.Unlock()
-	p.wakeFlush()
+	wake(p.flushWake)
 	p.confirmServing()
 }
 
--- a/versionpin/streams.go
+++ b/versionpin/streams.go
@@ -50,11 +50,15 @@
 	unrecorded map[string][]*stream
 	// recorded holds the streams of this daemon that are, in the order of their records.
 	recorded []*stream
+	// held holds the streams of other daemons that are not known to be in the store.
+	held map[string][]*stream
+	// news holds what other daemons are to be told.
+	news streamNews
 }
 
 // NewStreams returns an empty set.
 func NewStreams() *Streams {
-	return &Streams{byKey: map[streamKey]*stream{}, unrecorded: map[string][]*stream{}}
+	return &Streams{byKey: map[streamKey]*stream{}, unrecorded: map[string][]*stream{}, held: map[string][]*stream{}}
 }
 
 // Pin adds a stream of this daemon.
@@ -67,6 +71,9 @@
 	}
 	if added != nil {
 		s.unrecorded[service] = append(s.unrecorded[service], added)
+		if len(s.news.begun) < maxStreams {
+			s.news.begun = append(s.news.begun, added)
+		}
 	}
 }
 
@@ -118,9 +125,14 @@
 // returns true. Recorded or NotRecorded must be called with them.
 func (s *Streams) Batch(now time.Time, needed func(service string) bool) (streamBatch, []*stream) {
 	s.recordAgain(now)
-	var batch streamBatch
+	for service := range s.held {
+		if needed(service) {
+			s.takeHeld(now, service)
+		} else {
+			s.dropHeld(now, service)
+		}
+	}
 	var taken []*stream
-	groups := map[Version]int{}
 	for service, list := range s.unrecorded {
 		list = s.current(now, list)
 		if !needed(service) {
@@ -128,22 +140,12 @@
 			continue
 		}
 		n := min(len(list), maxBatch-len(taken))
-		for _, st := range list[:n] {
-			group := Version{service, st.version}
-			i, ok := groups[group]
-			if !ok {
-				i = len(batch.Groups)
-				groups[group] = i
-				batch.Groups = append(batch.Groups, streamGroup{Service: service, Version: st.version})
-			}
-			batch.Groups[i].Requests = append(batch.Groups[i].Requests, st.key.request)
-		}
 		taken = append(taken, list[:n]...)
 		if s.unrecorded[service] = list[n:]; n == len(list) {
 			delete(s.unrecorded, service)
 		}
 	}
-	return batch, taken
+	return streamBatch{Groups: groupStreams(taken)}, taken
 }
 
 // Pending reports whether streams of a service for which needed returns true are not
@@ -163,6 +165,20 @@
 		st.recorded = now
 	}
 	s.recorded = append(s.recorded, taken...)
+	if len(s.news.recorded) < maxStreams {
+		s.news.recorded = append(s.news.recorded, taken...)
+	}
+}
+
+// Holding reports whether streams of other daemons of a service for which needed returns
+// true may be due to be recorded.
+func (s *Streams) Holding(needed func(service string) bool) bool {
+	for service := range s.held {
+		if needed(service) {
+			return true
+		}
+	}
+	return false
 }
 
 // NotRecorded notes that the record of a batch was not acknowledged.
