reach: nobody's silence blames a server, and a path that failed once is tried again

What callers saw: none, found by the test of the cut beside load (-race, load 15). Cause: daemons that had failed as relays were not asked for a second; with nobody left to ask, the own failure counted as the server's, and the server was taken from all. A request also gave up both servers of a service after one failed path each. Change: such daemons are asked last. If none answers, the own failure counts only if this daemon has reached others since. A request doesn't avoid a server that it found no path to (three such attempts end it).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -156,13 +156,15 @@
 		if !failed.Unfit {
 			result.Failed, result.Down, result.Suspect = failed.Server, failed.Down, failed.Suspect
 		}
-		c.avoid = append(c.avoid, failed.Server.ID)
+		if !failed.unreached() {
+			c.avoid = append(c.avoid, failed.Server.ID)
+		}
 		if failed.Lost {
 			c.Quarantine.Lost(failed.Server, c.content, Progress{Prefill: failed.Server == place.Prefill, Flowed: c.flowed()})
 		}
 	}
 	c.Scheduler.Done(place, result)
-	if failed.Reason == backend.FailurePath.String() && !failed.Sent {
+	if failed.unreached() {
 		c.unreached++
 	}
 	if failed.Run != backend.RunNever {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -236,6 +237,12 @@
 	return e.Server.ID
 }
 
+// unreached reports whether there was no path to the server. Another attempt at it may
+// find one.
+func (e *AttemptError) unreached() bool {
+	return !e.Sent && strings.HasSuffix(e.Reason, backend.FailurePath.String())
+}
+
 func (e *AttemptError) Error() string {
 	if e.Err != nil {
 		return e.Reason + ": " + e.Err.Error()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -35,7 +35,7 @@
 	relayStale = 3*member.HeartbeatInterval + 100*time.Millisecond
 	// relayForget is the age of a heartbeat from which on its sender is forgotten.
 	relayForget = time.Minute
-	// relayBackoff is the time for which a daemon that failed as a relay is not asked.
+	// relayBackoff is the time for which a daemon that failed as a relay is asked last.
 	relayBackoff = time.Second
 )
 
@@ -122,30 +122,44 @@
 	r.peers[vm] = p
 }
 
-// usable returns the daemons that may be asked.
-func (r *relays) usable(now time.Time) (out []string) {
+// ready returns the daemons that may be asked, and whether each has failed lately.
+func (r *relays) ready(now time.Time) map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	out := map[string]bool{}
 	for vm, p := range r.peers {
 		switch {
 		case now.Sub(p.heard) >= relayForget:
 			delete(r.peers, vm)
-		case p.state == relayReady && now.Sub(p.heard) < relayStale && now.After(p.avoidUntil):
-			out = append(out, vm)
+		case p.state == relayReady && now.Sub(p.heard) < relayStale:
+			out[vm] = now.Before(p.avoidUntil)
 		}
 	}
 	return out
 }
 
+// any reports whether other daemons relay connections at all.
+func (r *relays) any(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		if p.state != relayNone && now.Sub(p.heard) < relayForget {
+			return true
+		}
+	}
+	return false
+}
+
 // rank orders the members that may be asked for a connection to a server in a failure
-// domain. Traffic crosses domains once if the relay is in that domain or in the own one.
+// domain, those that have failed lately last. Traffic crosses domains once if the relay is
+// in that domain or in the own one.
 func (r *relays) rank(now time.Time, vm, own, server string, members map[string]memberEntry) []reach.Relay {
 	type ranked struct {
 		reach.Relay
 		distance, tie int
 	}
 	var list []ranked
-	for _, id := range r.usable(now) {
+	for id, failed := range r.ready(now) {
 		m, listed := members[id]
 		if !listed || id == vm {
 			continue
@@ -157,6 +171,9 @@
 		case own:
 			distance = 1
 		}
+		if failed {
+			distance = 3
+		}
 		list = append(list, ranked{reach.Relay{VM: id, Addr: m.Addr}, distance, rand.Int()})
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.tie, b.tie)) })
@@ -179,7 +196,8 @@
 			}
 			return d.relays.rank(time.Now(), d.Settings.VM, d.Settings.FailureDomain, domain, d.control.memberTable.load())
 		},
-		Open: d.openRelayed,
+		Alone: func() bool { return !d.relays.any(time.Now()) },
+		Open:  d.openRelayed,
 		OnBroken: func(addr string, silent bool, since time.Time) {
 			if silent {
 				d.pathLost(addr, since)
@@ -219,7 +237,7 @@
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			d.relays.failed(time.Now(), relay.VM)
-			d.Events.Record(event.KindFault, "relay_failed", relay.VM, event.F("error", err.Error()), event.F("not_asked_for", relayBackoff.String()))
+			d.Events.Record(event.KindFault, "relay_failed", relay.VM, event.F("error", err.Error()), event.F("asked_last_for", relayBackoff.String()))
 		}
 		return nil, err
 	}
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -19,7 +19,7 @@
 	// tunnelStreamWindow and tunnelConnWindow bound the bytes of one tunnel, and of all
 	// tunnels through one peer, that were received and not read.
 	tunnelStreamWindow = 512 << 10
-	tunnelConnWindow   = 4 << 20
+	tunnelConnWindow   = 2 << 20
 	// tunnelLinger is the time for which the connection to a peer without tunnels is kept.
 	tunnelLinger = 5 * time.Second
 )
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -61,6 +61,8 @@
 	// Relays returns the daemons that may be asked for a connection to a server, best
 	// first.
 	Relays func(addr string) []Relay
+	// Alone reports whether no other daemon opens connections for this one.
+	Alone func() bool
 	// Open opens a connection through a relay. It returns a *RelayError if the relay
 	// could not open it.
 	Open func(ctx context.Context, relay Relay, addr string) (net.Conn, error)
@@ -251,18 +253,22 @@
 }
 
 // witnessed reports whether the failures show that the server is at fault: a relay that
-// reaches others says so, or there is nobody to ask.
+// reaches others says so, or no relay has answered and this daemon reaches others itself.
 func (o *opening) witnessed() bool {
-	if len(o.relayList()) == 0 {
-		return o.direct != nil && !o.Table.Cut()
-	}
+	answered := false
 	for _, relayed := range o.relayed {
 		var failed *RelayError
-		if errors.As(relayed, &failed) && failed.Reaches {
-			return true
+		if errors.As(relayed, &failed) {
+			answered = true
+			if failed.Reaches {
+				return true
+			}
 		}
 	}
-	return false
+	if answered || o.direct == nil || o.asked < min(len(o.relayList()), maxRelays) {
+		return false
+	}
+	return o.Alone() && !o.Table.Cut() || o.Table.Reaches()
 }
 
 // failure returns the error after all ways have failed.
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -66,6 +66,7 @@
 			}
 			return out
 		},
+		Alone: func() bool { return len(relays) == 0 },
 		Open: func(ctx context.Context, r Relay, _ string) (net.Conn, error) {
 			return answer(ctx, w.relay[r.VM], r.VM)
 		},
@@ -142,6 +143,16 @@
 	g.Expect(isPathError(err)).To(BeFalse())
 	g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(BeTrue())
 
+	w.relay["vm-1"] = errors.New("can't be reached")
+	for _, server := range []string{"a", "b"} {
+		w.Table.Failed(time.Now(), server)
+	}
+	_, _, err = w.dial(t)
+	g.Expect(isPathError(err)).To(BeTrue(), "nobody answers, and this daemon reaches no server")
+	w.Table.Opened(time.Now(), "a")
+	_, _, err = w.dial(t)
+	g.Expect(isPathError(err)).To(BeFalse(), "nobody answers, but this daemon reaches another server")
+
 	alone := newWorld(t)
 	alone.direct = refused
 	_, _, err = alone.dial(t)
