reach: distant servers are not taken for servers behind a broken path

What callers saw: none, found by reading: with round trips of 40 ms and more every connection would have gone through another daemon, and over 100 ms the own path would have counted as broken. Change: both times grow with the time that the last connection to the server took. AttemptError says in a field of its own that there was no path.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -455,7 +455,8 @@
 	var failed *backend.CallError
 	if errors.As(err, &failed) {
 		out.Reason, out.Suspect, out.Lost = failed.Failure.String(), failed.Down(), failed.Down()
-		out.Unfit = failed.Failure == backend.FailurePath
+		out.NoPath = failed.Failure == backend.FailurePath
+		out.Unfit = out.NoPath
 	}
 	return out
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -9,7 +9,6 @@
 	"encoding/binary"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -221,6 +220,8 @@
 	Down, Suspect bool
 	// Unfit is set if the server is not at fault, but unfit for this request.
 	Unfit bool
+	// NoPath is set if the path to the server failed.
+	NoPath bool
 	// Lost is set if the connection ended after the request was written, without a
 	// complete answer.
 	Lost bool
@@ -240,7 +241,7 @@
 // unreached reports whether there was no path to the server. Another attempt at it may
 // find one.
 func (e *AttemptError) unreached() bool {
-	return !e.Sent && strings.HasSuffix(e.Reason, backend.FailurePath.String())
+	return !e.Sent && e.NoPath
 }
 
 func (e *AttemptError) Error() string {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -312,12 +312,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
 	defer cancel()
+	began := time.Now()
 	conn, err := d.Config.Dial(ctx, "tcp", request.Addr)
 	if err != nil {
 		d.dialer.Table.Failed(time.Now(), request.Addr)
 		return nil, err
 	}
-	d.dialer.Table.Opened(time.Now(), request.Addr)
+	d.dialer.Table.Opened(time.Now(), request.Addr, time.Since(began))
 	return conn, nil
 }
 
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -15,16 +15,18 @@
 )
 
 const (
-	// relayAfter is the time after which other daemons are asked for a connection that
-	// was not opened over the own path. Opening one takes a round trip and a millisecond.
-	relayAfter = 40 * time.Millisecond
+	// relayAfter is the least time after which other daemons are asked for a connection
+	// that was not opened over the own path, and brokenAfter the least time without an
+	// answer after which that path counts as broken if another daemon has opened one
+	// meanwhile. Both grow with the time that the last connection took.
+	relayAfter  = 40 * time.Millisecond
+	brokenAfter = 100 * time.Millisecond
+	// relayFactor and brokenFactor are their ratios to that time.
+	relayFactor, brokenFactor = 2, 4
 	// nextAfter is the time after which one more daemon is asked.
 	nextAfter = 60 * time.Millisecond
 	// maxRelays is the number of daemons that are asked for one connection.
 	maxRelays = 3
-	// brokenAfter is the time without an answer over the own path after which it counts
-	// as broken, if another daemon has opened a connection meanwhile.
-	brokenAfter = 100 * time.Millisecond
 	// openTimeout bounds the opening of a connection.
 	openTimeout = 400 * time.Millisecond
 )
@@ -101,6 +103,7 @@
 	cancel        context.CancelFunc
 	network, addr string
 	began         time.Time
+	way           Way
 	results       chan result
 
 	// relays holds the relays once they are needed.
@@ -118,16 +121,16 @@
 }
 
 func (o *opening) run(ctx context.Context) (net.Conn, error) {
-	way := o.Table.Choose(o.began, o.addr)
-	if !way.Direct && len(o.relayList()) == 0 {
+	o.way = o.Table.Choose(o.began, o.addr)
+	if !o.way.Direct && len(o.relayList()) == 0 {
 		return nil, o.failure()
 	}
-	next := time.NewTimer(relayAfter)
+	next := time.NewTimer(max(relayAfter, relayFactor*o.way.Usual))
 	defer next.Stop()
-	if way.Direct {
+	if o.way.Direct {
 		o.tryDirect()
 	}
-	if way.Relay {
+	if o.way.Relay {
 		o.askNext()
 		next.Reset(nextAfter)
 	}
@@ -202,7 +205,7 @@
 	case r.relay == nil && r.err == nil:
 		o.directPending = false
 		openedDirect.Inc()
-		if o.Table.Opened(now, o.addr) {
+		if o.Table.Opened(now, o.addr, now.Sub(o.began)) {
 			o.Events.Record(event.KindConfig, "path_healed", o.addr)
 			o.OnHealed(o.addr)
 		}
@@ -233,7 +236,7 @@
 // finish collects the results of the ways that go on after Dial has returned.
 func (o *opening) finish() {
 	defer o.cancel()
-	patience := time.NewTimer(max(time.Until(o.began.Add(brokenAfter)), 0))
+	patience := time.NewTimer(max(time.Until(o.began.Add(max(brokenAfter, brokenFactor*o.way.Usual))), 0))
 	defer patience.Stop()
 	for o.pending > 0 {
 		if !o.directPending {
--- a/reach/table.go
+++ b/reach/table.go
@@ -44,6 +44,8 @@
 	// broken is the time at which the path was last shown to be broken; zero if it isn't.
 	broken time.Time
 	probed time.Time
+	// took is how long the last connection took to open; 0 if none was opened.
+	took time.Duration
 }
 
 // NewTable returns a table of a daemon that is taken to reach all servers.
@@ -54,6 +56,8 @@
 	// Direct is set if the own path is to be tried, and Relay if other daemons are to be
 	// asked at once, without waiting for the own path.
 	Direct, Relay bool
+	// Usual is how long the last connection over the own path took to open; 0 if unknown.
+	Usual time.Duration
 }
 
 // Choose returns the way to open a connection. A broken path is tried again every
@@ -64,23 +68,23 @@
 	p := t.path(now, addr)
 	p.tried = now
 	if p.broken.IsZero() && !t.cut {
-		return Way{Direct: true}
+		return Way{Direct: true, Usual: p.took}
 	}
 	if now.Sub(p.probed) < probeInterval && !t.opened.After(p.probed) {
-		return Way{Relay: true}
+		return Way{Relay: true, Usual: p.took}
 	}
 	p.probed = now
-	return Way{Direct: true, Relay: true}
+	return Way{Direct: true, Relay: true, Usual: p.took}
 }
 
-// Opened records that a connection was opened over the own path. It reports whether the
-// path was broken before.
-func (t *Table) Opened(now time.Time, addr string) (healed bool) {
+// Opened records that a connection was opened over the own path, and how long that took.
+// It reports whether the path was broken before.
+func (t *Table) Opened(now time.Time, addr string, took time.Duration) (healed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.path(now, addr)
 	healed = !p.broken.IsZero() || t.cut
-	p.failed, p.broken = time.Time{}, time.Time{}
+	p.failed, p.broken, p.took = time.Time{}, time.Time{}, took
 	t.opened, t.cut = now, false
 	return healed
 }
