edge: a cut daemon also asks daemons that send it no heartbeats

What callers saw: none, found by reading: beyond nine daemons each hears of eight others, and if these are cut too it had nobody to ask. A relay that was stopping or full also counted as a witness against the server. Only a relay that tried is a witness.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -68,7 +68,7 @@
 	Opened bool `cbor:"1,keyasint,omitempty"`
 	// Refused is set if the server's machine refused the connection.
 	Refused bool `cbor:"2,keyasint,omitempty"`
-	// Reaches is set if the sender opens connections to other servers.
+	// Reaches is set if the sender tried, and opens connections to other servers.
 	Reaches bool   `cbor:"3,keyasint,omitempty"`
 	Error   string `cbor:"4,keyasint,omitempty"`
 }
@@ -138,6 +138,31 @@
 	return out
 }
 
+// learned records what a daemon has answered to a RelayRequest. In large deployments most
+// daemons send this one no heartbeats.
+func (r *relays) learned(now time.Time, vm string, state RelayState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[vm]
+	p.state, p.heard = state, now
+	if state == relayReady {
+		p.avoidUntil = time.Time{}
+	}
+	r.peers[vm] = p
+}
+
+// unknown returns up to n members whose state is not known, chosen at random.
+func (r *relays) unknown(now time.Time, n int, vm string, members map[string]memberEntry) (out []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range members { // The order of a map is random enough.
+		if p, heard := r.peers[id]; len(out) < n && id != vm && (!heard || now.Sub(p.heard) >= relayStale && now.After(p.avoidUntil)) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // any reports whether other daemons relay connections at all.
 func (r *relays) any(now time.Time) bool {
 	r.mu.Lock()
@@ -181,6 +206,9 @@
 	for i := range list {
 		out[i] = list[i].Relay
 	}
+	for _, id := range r.unknown(now, reach.MaxRelays-len(out), vm, members) {
+		out = append(out, reach.Relay{VM: id, Addr: members[id].Addr})
+	}
 	return out
 }
 
@@ -241,6 +269,11 @@
 		}
 		return nil, err
 	}
+	if reply.Opened || reply.Reaches {
+		d.relays.learned(time.Now(), relay.VM, relayReady)
+	} else {
+		d.relays.learned(time.Now(), relay.VM, relayCut)
+	}
 	if !reply.Opened {
 		_ = tunnel.Close()
 		return nil, &reach.RelayError{Refused: reply.Refused, Reaches: reply.Reaches, Text: reply.Error}
@@ -284,7 +317,12 @@
 	if f.Kind != kindRelayRequest {
 		return nil, nil, false
 	}
-	conn, err := d.dialForOther(ctx, f)
+	request, err := d.admitRelay(f)
+	if err != nil {
+		relayedRefused.Inc()
+		return &RelayReply{Error: err.Error()}, nil, true
+	}
+	conn, err := d.dialForOther(ctx, request.Addr)
 	if err != nil {
 		relayedRefused.Inc()
 		return &RelayReply{Refused: errors.Is(err, syscall.ECONNREFUSED), Reaches: d.dialer.Table.Reaches(), Error: err.Error()}, nil, true
@@ -297,9 +335,10 @@
 	}, true
 }
 
-func (d *Daemon) dialForOther(ctx context.Context, f peer.Frame) (net.Conn, error) {
-	var request RelayRequest
-	if err := f.Decode(&request); err != nil {
+// admitRelay decides whether this daemon opens a connection for another one.
+func (d *Daemon) admitRelay(f peer.Frame) (*RelayRequest, error) {
+	request := &RelayRequest{}
+	if err := f.Decode(request); err != nil {
 		return nil, err
 	}
 	switch {
@@ -310,15 +349,19 @@
 	case d.control.servers.Load().atAddr(request.Addr) == nil:
 		return nil, eris.Errorf("no server is listed at %s", request.Addr)
 	}
+	return request, nil
+}
+
+func (d *Daemon) dialForOther(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
 	defer cancel()
 	began := time.Now()
-	conn, err := d.Config.Dial(ctx, "tcp", request.Addr)
+	conn, err := d.Config.Dial(ctx, "tcp", addr)
 	if err != nil {
-		d.dialer.Table.Failed(time.Now(), request.Addr)
+		d.dialer.Table.Failed(time.Now(), addr)
 		return nil, err
 	}
-	d.dialer.Table.Opened(time.Now(), request.Addr, time.Since(began))
+	d.dialer.Table.Opened(time.Now(), addr, time.Since(began))
 	return conn, nil
 }
 
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -25,8 +25,8 @@
 	relayFactor, brokenFactor = 2, 4
 	// nextAfter is the time after which one more daemon is asked.
 	nextAfter = 60 * time.Millisecond
-	// maxRelays is the number of daemons that are asked for one connection.
-	maxRelays = 3
+	// MaxRelays is the number of daemons that are asked for one connection.
+	MaxRelays = 3
 	// openTimeout bounds the opening of a connection.
 	openTimeout = 400 * time.Millisecond
 )
@@ -87,7 +87,7 @@
 // *backend.PathError unless the failure shows that the server is down.
 func (d *Dialer) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	o := &opening{Dialer: d, network: network, addr: addr, began: time.Now(), results: make(chan result, maxRelays+1)}
+	o := &opening{Dialer: d, network: network, addr: addr, began: time.Now(), results: make(chan result, MaxRelays+1)}
 	// The ways that lost go on for a while: their results tell whether the path is broken.
 	o.ctx, o.cancel = context.WithTimeout(context.WithoutCancel(ctx), openTimeout)
 	defer cancel()
@@ -165,7 +165,7 @@
 // askNext asks one more relay. It returns false if there is none.
 func (o *opening) askNext() bool {
 	list := o.relayList()
-	if o.asked >= min(len(list), maxRelays) {
+	if o.asked >= min(len(list), MaxRelays) {
 		return false
 	}
 	o.start(&list[o.asked])
@@ -268,7 +268,7 @@
 			}
 		}
 	}
-	if answered || o.direct == nil || o.asked < min(len(o.relayList()), maxRelays) {
+	if answered || o.direct == nil || o.asked < min(len(o.relayList()), MaxRelays) {
 		return false
 	}
 	return o.Alone() && !o.Table.Cut() || o.Table.Reaches()
