peer: a refusal of a tunnel arrives

Cause: the daemon that refused closed the tunnel right after its reply, which QUIC then may drop. It seemed unreachable, was asked last for a second, and its evidence of a server that is down was lost. Change: it closes the tunnel once the other daemon has, within a second.

--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 	// tunnels through one peer, that were received and not read.
 	tunnelStreamWindow = 512 << 10
 	tunnelConnWindow   = 2 << 20
+	// refusalReadTimeout is the time in which the other daemon reads a refusal.
+	refusalReadTimeout = time.Second
 	// tunnelLinger is the time for which the connection to a peer without tunnels is kept.
 	tunnelLinger = 5 * time.Second
 )
@@ -214,6 +217,9 @@
 		serve(t)
 	case err == nil:
 		_ = t.CloseWrite()
+		// Closing the tunnel before the other daemon has read the reply would drop it.
+		_ = t.SetReadDeadline(time.Now().Add(refusalReadTimeout))
+		_, _ = io.Copy(io.Discard, t)
 	}
 	return true
 }
--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -119,3 +119,26 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// refusingHandler answers requests for tunnels without serving any.
+type refusingHandler struct{ *recordingHandler }
+
+func (refusingHandler) OpenTunnel(context.Context, string, Frame) (Message, func(*Tunnel), bool) {
+	return &textMessage{Text: "refused"}, nil, true
+}
+
+// Guards against refusals that get lost, so that the daemon that refused seems to be
+// unreachable.
+func TestRefusalOfATunnelArrives(t *testing.T) {
+	ca := newTestCA(t)
+	far := newNode(t, ca, "vm-b", refusingHandler{newHandler()})
+	near := newNode(t, ca, "vm-a", newHandler())
+	for range 100 {
+		var reply textMessage
+		tunnel, err := near.Tunnel(t.Context(), far.Addr(), &textMessage{"open"}, &reply)
+		if err != nil || reply.Text != "refused" {
+			t.Fatalf("reply %q, error %v", reply.Text, err)
+		}
+		_ = tunnel.Close()
+	}
+}
