reach: a cut daemon asks a second relay before it blames a server

Cause: a relay that has just been cut still believes that it reaches others, and its first refusal counted as proof that the server is down. Change: other relays are asked until two daemons say so; this one counts if it reaches others. Measured: TestCutDaemonAsksASecondRelay is new.

--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -255,23 +255,40 @@
 	}
 }
 
-// witnessed reports whether the failures show that the server is at fault: a relay that
-// reaches others says so, or no relay has answered and this daemon reaches others itself.
-func (o *opening) witnessed() bool {
-	answered := false
+// witnesses returns the number of relays that can't open a connection although they reach
+// other servers, as far as they know, and whether a relay has answered.
+func (o *opening) witnesses() (n int, answered bool) {
 	for _, relayed := range o.relayed {
 		var failed *RelayError
 		if errors.As(relayed, &failed) {
 			answered = true
 			if failed.Reaches {
-				return true
+				n++
 			}
 		}
 	}
-	if answered || o.direct == nil || o.asked < min(len(o.relayList()), MaxRelays) {
-		return false
+	return n, answered
+}
+
+// self reports whether this daemon can't open a connection although it reaches others.
+func (o *opening) self() bool { return o.direct != nil && o.Table.Reaches() }
+
+// witnessed reports whether no other daemon need be asked, since two say that the server is
+// at fault. One that has just been cut still believes that it reaches others.
+func (o *opening) witnessed() bool {
+	n, _ := o.witnesses()
+	return n > 1 || n == 1 && o.self()
+}
+
+// serverAtFault reports, after all ways have failed, whether the server is at fault: a
+// relay says so, or none has answered and this daemon reaches others, or there is nobody to
+// ask.
+func (o *opening) serverAtFault() bool {
+	n, answered := o.witnesses()
+	if answered {
+		return n > 0
 	}
-	return o.Alone() && !o.Table.Cut() || o.Table.Reaches()
+	return o.self() || o.direct != nil && o.Alone() && !o.Table.Cut()
 }
 
 // failure returns the error after all ways have failed.
@@ -280,7 +297,7 @@
 	if err == nil {
 		err = eris.Wrapf(context.DeadlineExceeded, "no connection to %s", o.addr)
 	}
-	if !o.witnessed() {
+	if !o.serverAtFault() {
 		failedPath.Inc()
 		return &backend.PathError{Err: errors.Join(append([]error{err}, o.relayed...)...)}
 	}
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -202,3 +202,16 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(way).To(Equal("direct"))
 }
+
+// Guards against a relay that has just been cut and takes a server from all daemons.
+func TestCutDaemonAsksASecondRelay(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, "vm-1", "vm-2")
+	for _, server := range []string{"a", "b"} {
+		w.Table.Failed(time.Now(), server)
+	}
+	w.direct, w.relay["vm-1"] = refused, &RelayError{Refused: true, Reaches: true, Text: "refused"}
+	way, _, err := w.dial(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(way).To(Equal("vm-2"))
+}
