httpstrict, backend: an answer whose status is none of HTTP/1.1 fails

What callers saw: a server in trouble sent a status of 000. The connection of the client ended without an answer, because WriteHeader panics on such a status; 600 and 999 were passed on.

Cause: net/http's client takes any number of three characters for a status, and nothing judged the head after it. The call then also used the head: its limit counted, and a refusal in it proved that the request had not run.

Change: package httpstrict wraps the connections of package backend and follows their bytes before net/http sees them. A status line that is not HTTP/1.x with a code of 200 to 599, or 1xx but 101 for an interim answer, ends the connection, and the call fails as malformed. The run state stays unknown, the route's rules for retries hold, and the client gets 502 at the latest. What is not HTTP at all still counts as a broken connection.

Why this works: the check stands before the one place where net/http reads bytes, so no caller can use a head that was not judged.

--- a/backend/call.go
+++ b/backend/call.go
@@ -115,7 +115,7 @@
 func (t *transport) roundTrip(req *http.Request, x *exchange) (*http.Response, context.CancelFunc, *CallError) {
 	caller := req.Context()
 	ctx, cancel := context.WithCancel(caller)
-	x.cancel = cancel
+	x.request, x.cancel = req, cancel
 	x.judged = make(chan struct{})
 	defer close(x.judged)
 	req = req.WithContext(x.trace(ctx))
@@ -176,6 +176,8 @@
 		return FailureCheck
 	case x.timedOut:
 		return FailureReadTimeout
+	case x.malformed:
+		return FailureMalformed
 	case caller.Err() != nil:
 		return FailureCanceled
 	case x.pathLost, errors.As(err, &path):
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/mimosakeel/mimosakeel/httpstrict"
 )
 
 // errAborted is returned by writes on a connection that was closed to prevent a
@@ -25,7 +27,7 @@
 // trackedConn is a connection to a backend server that counts the bytes written
 // and applies a read timeout.
 type trackedConn struct {
-	net.Conn
+	*httpstrict.Conn
 	set  *connSet
 	addr string
 
@@ -36,6 +38,8 @@
 	aborted atomic.Bool
 	// timedOut is set when a read exceeded the read timeout.
 	timedOut atomic.Bool
+	// malformed is set when the backend sent a malformed response.
+	malformed atomic.Bool
 	// requested is set from the first byte of a request to the end of its exchange.
 	// Bytes that arrive at other times belong to no request.
 	requested atomic.Bool
@@ -67,7 +71,7 @@
 }
 
 func newTrackedConn(raw net.Conn, set *connSet, addr string) *trackedConn {
-	c := &trackedConn{Conn: raw, set: set, addr: addr}
+	c := &trackedConn{Conn: httpstrict.Wrap(raw), set: set, addr: addr}
 	c.readChanged = sync.NewCond(&c.readMu)
 	return c
 }
@@ -87,7 +91,7 @@
 		return 0, err
 	}
 	if c.attached.Swap(false) {
-		if c.written > 0 && unread(c.Conn) {
+		if c.written > 0 && unread(c.NetConn()) {
 			_ = c.Close()
 			return 0, errUnsolicited
 		}
@@ -147,6 +151,10 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.timedOut.Store(true)
 	}
+	var malformed *httpstrict.MalformedError
+	if errors.As(err, &malformed) {
+		c.malformed.Store(true)
+	}
 	c.notePath(err)
 	if n > 0 {
 		c.lastRead.Store(time.Now().UnixNano())
@@ -319,6 +327,7 @@
 // connections; the exchange permits that only while no byte of the request was
 // written.
 type exchange struct {
+	request *http.Request
 	// readTimeout is the longest time without a byte from the backend; 0 means no
 	// timeout. reusedReadTimeout, if not 0, replaces it on a connection from the
 	// pool, which may have stopped delivering while it was idle.
@@ -347,11 +356,12 @@
 	// writtenBefore is the number of bytes that earlier exchanges wrote on conn.
 	writtenBefore int64
 	wrote         bool
-	// timedOut and checkErr record why a connection failed. net/http may return
-	// the error of a retry that gotConn prevented instead.
-	timedOut bool
-	pathLost bool
-	checkErr error
+	// timedOut, malformed, pathLost and checkErr record why a connection failed.
+	// net/http may return the error of a retry that gotConn prevented instead.
+	timedOut  bool
+	malformed bool
+	pathLost  bool
+	checkErr  error
 }
 
 // trace returns a context that makes net/http report the connections of the
@@ -386,6 +396,7 @@
 	if info.Reused && x.reusedReadTimeout > 0 {
 		readTimeout = x.reusedReadTimeout
 	}
+	conn.Begin(x.request)
 	x.writtenBefore = conn.attach(x, readTimeout)
 }
 
@@ -442,6 +453,7 @@
 		x.wrote = true
 	}
 	x.timedOut = x.timedOut || x.conn.timedOut.Load()
+	x.malformed = x.malformed || x.conn.malformed.Load()
 	x.pathLost = x.pathLost || x.conn.pathLost.Load()
 	x.conn = nil
 }
--- a/backend/path.go
+++ b/backend/path.go
@@ -24,7 +24,7 @@
 func (c *Client) OnHeard(heard func()) { c.transport.set.heard.Store(&heard) }
 
 func (s *connSet) noteHeard(c *trackedConn) {
-	if heard := s.heard.Load(); heard != nil && relayVM(c.Conn) == "" {
+	if heard := s.heard.Load(); heard != nil && relayVM(c.NetConn()) == "" {
 		(*heard)()
 	}
 }
@@ -48,7 +48,7 @@
 // over the own path if vm is empty. Calls that may be repeated fail, the others go on.
 func (c *Client) PathLost(vm, addr string, since time.Time) {
 	lost := c.transport.set.all(func(conn *trackedConn) bool {
-		return relayVM(conn.Conn) == vm && (addr == "" || dialAddress(conn.addr) == addr) && conn.lastRead.Load() < since.UnixNano()
+		return relayVM(conn.NetConn()) == vm && (addr == "" || dialAddress(conn.addr) == addr) && conn.lastRead.Load() < since.UnixNano()
 	})
 	for _, conn := range lost {
 		conn.losePath()
@@ -75,7 +75,7 @@
 // of one daemon, once no call uses them. Empty arguments match all.
 func (c *Client) RetireRelayed(addr, vm string) {
 	for _, conn := range c.transport.set.all(func(conn *trackedConn) bool {
-		by := relayVM(conn.Conn)
+		by := relayVM(conn.NetConn())
 		return by != "" && (vm == "" || by == vm) && (addr == "" || dialAddress(conn.addr) == addr)
 	}) {
 		conn.retired.Store(true)
@@ -88,7 +88,7 @@
 func (c *Client) Waiting(now time.Time, longer time.Duration) []string {
 	seen := map[string]bool{}
 	var out []string
-	for _, conn := range c.transport.set.all(func(conn *trackedConn) bool { return relayVM(conn.Conn) == "" }) {
+	for _, conn := range c.transport.set.all(func(conn *trackedConn) bool { return relayVM(conn.NetConn()) == "" }) {
 		addr := dialAddress(conn.addr)
 		if !seen[addr] && conn.waitsSince(now.Add(-longer)) {
 			seen[addr] = true
