httpstrict: heads and trailers with lines that are none of HTTP/1.1 fail

What callers saw: a server in trouble sent a head with a blank in the name of a field. The client got the answer without that line or, if the line was a Content-Length, with a body that was not the server's. A line that begins with a blank was joined to the one before, and a value with an LF was read as two fields.

Cause: net/http reads fields as leniently as it can and drops what it can't write.

Change: names must be tokens, values and reason phrases must hold no control bytes (both as golang.org/x/net/http/httpguts decides), and lines must end in CRLF, in heads, interim answers and trailers alike.

Why this works: what passes has one reading only, which is net/http's. FuzzResponse checks that: whatever net/http accepts behind the check has valid fields and ends where the check ends it. TestUnusualAnswersReachTheClient keeps legal but unusual answers passing; it also passed before.

--- a/httpstrict/conn.go
+++ b/httpstrict/conn.go
@@ -1,5 +1,5 @@
 // Package httpstrict makes net/http's client for HTTP/1.1 refuse responses that net/http
-// reads leniently: heads that break the grammar of RFC 9110 and RFC 9112.
+// reads leniently: heads and trailers that break the grammar of RFC 9110 and RFC 9112.
 package httpstrict
 
 import (
--- a/httpstrict/parser.go
+++ b/httpstrict/parser.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -49,8 +51,8 @@
 	stateUntilClose
 )
 
-// parser follows the bytes of one connection and finds the errors in heads and chunk
-// sizes. It stores at most one line.
+// parser follows the bytes of one connection and finds the errors in heads, chunk sizes and
+// trailers. It stores at most one line.
 type parser struct {
 	state state
 	// line holds the start of a line whose end has not arrived.
@@ -133,7 +135,13 @@
 		return nil, used, nil
 	}
 	p.line = p.line[:0]
-	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")), used, nil
+	// RFC 9112, section 2.2, lets a recipient take a lone LF for the end of a line, which
+	// would make two lines of a value with an LF.
+	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok {
+		return nil, used, malformed("line does not end in CRLF", line)
+	}
+	return text, used, nil
 }
 
 // take handles a whole line.
@@ -162,7 +170,9 @@
 	case stateTrailers:
 		if len(line) == 0 {
 			p.state = stateIdle
+			return nil
 		}
+		_, _, err = parseField(line)
 	}
 	return err
 }
@@ -197,11 +207,14 @@
 	if len(version) != len("HTTP/1.1") || !strings.HasPrefix(version, "HTTP/1.") || !isDigits(version[len("HTTP/1."):]) {
 		return head{}, malformed("status line has no HTTP/1 version", line)
 	}
-	code, _, _ := strings.Cut(rest, " ")
+	code, reason, _ := strings.Cut(rest, " ")
 	status, err := strconv.Atoi(code)
 	if err != nil || len(code) != 3 || !isDigits(code) || status < 100 || status > 599 || status == 101 {
 		return head{}, malformed("status code is not one of a response", line)
 	}
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return head{}, malformed("reason phrase holds control bytes", line)
+	}
 	return head{minor: version[len("HTTP/1.")], status: status, length: -1}, nil
 }
 
@@ -232,23 +245,30 @@
 	return nil
 }
 
-// parseField splits a field line.
+// parseField splits a field line. A line that begins with a blank continues the one before
+// for lenient readers; RFC 9112, section 5.2, lets a gateway refuse it.
 func parseField(line []byte) (name, value string, err error) {
 	name, value, found := strings.Cut(string(line), ":")
-	if !found {
-		return "", "", malformed("field has no name", line)
+	if !found || !httpguts.ValidHeaderFieldName(name) {
+		return "", "", malformed("field name is not a token", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return "", "", malformed("field value holds control bytes", line)
 	}
 	return name, strings.Trim(value, " \t"), nil
 }
 
 // parseChunkSize returns the size of a chunk. Extensions are ignored.
 func parseChunkSize(line []byte) (int64, error) {
-	digits, _, _ := strings.Cut(string(line), ";")
+	digits, extension, _ := strings.Cut(string(line), ";")
 	digits = strings.TrimRight(digits, " \t")
 	size, err := strconv.ParseUint(digits, 16, 63)
 	if err != nil || len(digits) > maxSizeDigits {
 		return 0, malformed("chunk size is not a hexadecimal number", line)
 	}
+	if !httpguts.ValidHeaderFieldValue(extension) {
+		return 0, malformed("chunk extension holds control bytes", line)
+	}
 	return int64(size), nil
 }
 
