httpstrict: a body that ends with its connection needs the whole request delivered

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The client got that part as a complete answer, framed with a Content-Length.

Cause: such a body ends where the connection ends, and net/http takes every end of the bytes for that. A reset is reported once by the kernel: if the write of the upload gets it, the read sees an ordinary end. An end in order does not mean more either while the request is still on its way.

--- a/backend/malformed_test.go
+++ b/backend/malformed_test.go
@@ -1,7 +1,9 @@
 package backend_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -76,3 +78,39 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that looks complete because the connection broke while
+// the request was written.
+func TestServiceAnswerThatIsCutDuringTheUploadIsNotComplete(t *testing.T) {
+	ends := map[string]func(conn rawserver.Conn, r *http.Request){
+		"reset": func(conn rawserver.Conn, _ *http.Request) { conn.Reset() },
+		"close": func(rawserver.Conn, *http.Request) {},
+		"close after a part": func(_ rawserver.Conn, r *http.Request) {
+			_, _ = io.CopyN(io.Discard, r.Body, r.ContentLength/4)
+		},
+	}
+	for name, end := range ends {
+		for _, size := range []int{64 << 10, 1 << 20, 16 << 20} {
+			t.Run(fmt.Sprintf("%s %d KB", name, size>>10), func(t *testing.T) {
+				addr := rawserver.Start(t, func(conn rawserver.Conn, r *http.Request) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+					end(conn, r)
+				})
+				services := backend.NewServices(nil)
+				for range 6 {
+					resp, failed := services.Do(context.Background(), "http://"+addr, backend.ServiceRequest{
+						ID: "r", Method: http.MethodPost, Path: "/", Body: bytes.Repeat([]byte("x"), size),
+					})
+					if failed != nil {
+						continue
+					}
+					body, err := io.ReadAll(resp.Body)
+					resp.Close()
+					if err == nil {
+						t.Fatalf("%q is taken for complete", body)
+					}
+				}
+			})
+		}
+	}
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -31,6 +31,8 @@
 	client    *http.Client
 	listeners map[string]*enginetest.PipeListener
 	servers   []*http.Server
+	// rawListeners are the listeners of serveRaw.
+	rawListeners []net.Listener
 
 	mu             sync.Mutex
 	keys           map[KeyHash]*Customer
@@ -105,6 +107,9 @@
 	for _, server := range e.servers {
 		_ = server.Close()
 	}
+	for _, listener := range e.rawListeners {
+		_ = listener.Close()
+	}
 	synctest.Wait()
 }
 
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +17,7 @@
 
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/claim"
+	"github.com/mimosakeel/mimosakeel/internal/enginetest"
 )
 
 // Guards against reporting a failed attempt as "not run" after bytes were
@@ -196,3 +199,71 @@
 		g.Expect(e.gateway.metrics.responses[2].Get()).To(BeZero())
 	}, service)
 }
+
+// serveRaw makes a server answer each request with raw bytes once its head was read. The
+// connection is closed when answer returns.
+func (e *testEnv) serveRaw(addr string, answer func(conn net.Conn, r *http.Request)) {
+	listener := enginetest.NewPipeListener()
+	e.listeners[addr] = listener
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					answer(conn, r)
+				}
+			}()
+		}
+	}()
+	e.rawListeners = append(e.rawListeners, listener)
+}
+
+// Guards against broken answers of plain services that reach the client as whole ones, and
+// against clients that get no answer at all.
+func TestBrokenAnswersOfServicesReachNoClient(t *testing.T) {
+	for name, head := range map[string]string{
+		"status": "HTTP/1.1 000 OK\r\n",
+		"name":   "HTTP/1.1 200 OK\r\nX Y: z\r\n",
+		"value":  "HTTP/1.1 200 OK\r\nX-Y: z\x01\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithGateway(t, Config{}, func(e *testEnv) {
+				g := NewWithT(e.t)
+				e.serveRaw("e0:80", func(conn net.Conn, _ *http.Request) {
+					_, _ = io.WriteString(conn, head+"Content-Length: 5\r\n\r\nhello")
+				})
+				code, run := errorCode(g, e.send("POST", "/services/stamps/s", ""))
+				g.Expect([]string{code, run}).To(Equal([]string{"backend_failed", "unknown"}))
+				g.Expect(e.send("GET", "/services/stamps/s", "").body).To(Equal("stamped"), "an idempotent call is repeated")
+			}, &stampService{}, &stampService{})
+		})
+	}
+	t.Run("cut during the upload", func(t *testing.T) {
+		runWithGateway(t, Config{}, func(e *testEnv) {
+			e.serveRaw("e0:80", func(conn net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			})
+			response := e.send("POST", "/services/stamps/s", strings.Repeat("x", 1<<20))
+			if response.err == nil && response.status < 300 {
+				e.t.Fatalf("%q is taken for complete", response.body)
+			}
+		}, &stampService{})
+	})
+	t.Run("no length after the upload", func(t *testing.T) {
+		runWithGateway(t, Config{}, func(e *testEnv) {
+			e.serveRaw("e0:80", func(conn net.Conn, r *http.Request) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhe")
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, "llo")
+				time.Sleep(time.Millisecond) // A pipe that the other end has closed takes no deadline.
+			})
+			response := e.send("POST", "/services/stamps/s", strings.Repeat("x", 1<<20))
+			NewWithT(e.t).Expect(response.err).NotTo(HaveOccurred())
+			NewWithT(e.t).Expect(response.body).To(Equal("hello"))
+		}, &stampService{})
+	})
+}
--- a/httpstrict/parser_test.go
+++ b/httpstrict/parser_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -88,9 +89,10 @@
 	io.Reader
 }
 
-func (c *bytesConn) Read(p []byte) (int, error)  { return c.Reader.Read(p) }
-func (c *bytesConn) Write(p []byte) (int, error) { return len(p), nil }
-func (c *bytesConn) Close() error                { return nil }
+func (c *bytesConn) Read(p []byte) (int, error)       { return c.Reader.Read(p) }
+func (c *bytesConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (c *bytesConn) Close() error                     { return nil }
+func (c *bytesConn) SetWriteDeadline(time.Time) error { return nil }
 
 // Guards against responses that pass the check and break its rules once net/http has read
 // them, and against a disagreement about where a response ends.
