edge: a relayed connection tells what the server has got, and passes resets on

A daemon that is cut from a server reaches it through another daemon. A part of an answer could count as complete there.

Cause: the relaying daemon passed an end of the server's bytes on as an end in order, also if its own write to the server had got the reset. And the daemon that asked for the connection can't know how much of the request the server has: what it wrote may still be on the way.

Change: the server's bytes come in frames, whose last one says how many bytes the server has got, or that the connection was reset; the asking daemon compares that number with what it wrote. A reset comes after the bytes that the server sent before. If a write to the server fails, the relaying daemon reads the tunnel on, because closing it would drop those bytes.

Mixed releases: RelayRequest and RelayReply have one optional field more, and frames are used only if both daemons know them. Through a daemon of an earlier release, a body without a length ends in order only if the request had no body, since nothing tells what was delivered. An asking daemon of an earlier release gets raw bytes and, after a failed write, a reset.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/mimosakeel/mimosakeel/backend"
 	"github.com/mimosakeel/mimosakeel/event"
+	"github.com/mimosakeel/mimosakeel/httpstrict"
 	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/reach"
@@ -61,6 +63,9 @@
 // RelayRequest asks a daemon to open a connection to a backend server.
 type RelayRequest struct {
 	Addr string `cbor:"1,keyasint"`
+	// Framed asks for the frames of relayframe.go. Daemons of earlier releases send raw
+	// bytes only.
+	Framed bool `cbor:"2,keyasint,omitempty"`
 }
 
 // RelayReply answers a RelayRequest. The bytes of the connection follow if Opened is set.
@@ -71,6 +76,8 @@
 	// Reaches is set if the sender tried, and opens connections to other servers.
 	Reaches bool   `cbor:"3,keyasint,omitempty"`
 	Error   string `cbor:"4,keyasint,omitempty"`
+	// Framed is set if the server's bytes come in frames.
+	Framed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // MessageKind implements peer.Message.
@@ -258,7 +265,7 @@
 // openRelayed opens a connection through another daemon.
 func (d *Daemon) openRelayed(ctx context.Context, relay reach.Relay, addr string) (net.Conn, error) {
 	var reply RelayReply
-	tunnel, err := d.node.Tunnel(ctx, relay.Addr, &RelayRequest{Addr: addr}, &reply)
+	tunnel, err := d.node.Tunnel(ctx, relay.Addr, &RelayRequest{Addr: addr, Framed: true}, &reply)
 	if errors.Is(err, peer.ErrFarReset) {
 		return nil, &reach.RelayError{Text: "the server reset the new connection"}
 	}
@@ -278,28 +285,51 @@
 		_ = tunnel.Close()
 		return nil, &reach.RelayError{Refused: reply.Refused, Reaches: reply.Reaches, Text: reply.Error}
 	}
-	return &relayedConn{Tunnel: tunnel, vm: relay.VM}, nil
+	return newRelayedConn(tunnel, relay.VM, reply.Framed), nil
 }
 
 // relayedConn is a connection to a server through another daemon.
 type relayedConn struct {
 	*peer.Tunnel
 	vm string
+	// frames reads the server's bytes; nil if they come unframed.
+	frames *relayFrameReader
+	// written is the number of bytes for the server.
+	written atomic.Int64
+}
+
+func newRelayedConn(tunnel *peer.Tunnel, vm string, framed bool) *relayedConn {
+	c := &relayedConn{Tunnel: tunnel, vm: vm}
+	if framed {
+		c.frames = newRelayFrameReader(tunnel)
+	}
+	return c
 }
 
 // RelayVM implements backend.Relayed.
 func (c *relayedConn) RelayVM() string { return c.vm }
 
-func (c *relayedConn) Read(p []byte) (int, error) {
-	n, err := c.Tunnel.Read(p)
+func (c *relayedConn) Read(p []byte) (n int, err error) {
+	if c.frames != nil {
+		n, err = c.frames.Read(p)
+	} else {
+		n, err = c.Tunnel.Read(p)
+	}
 	return n, relayedError("read", err)
 }
 
 func (c *relayedConn) Write(p []byte) (int, error) {
 	n, err := c.Tunnel.Write(p)
+	c.written.Add(int64(n))
 	return n, relayedError("write", err)
 }
 
+// Undelivered implements httpstrict.DeliveryReporter. A daemon of an earlier release does
+// not tell what it has delivered.
+func (c *relayedConn) Undelivered() bool {
+	return c.frames == nil || c.frames.delivered < uint64(c.written.Load())
+}
+
 // relayedError tells resets by the server from failures of the way to it.
 func relayedError(op string, err error) error {
 	switch {
@@ -329,9 +359,9 @@
 	}
 	relayedTotal.Inc()
 	d.relaying.Add(1)
-	return &RelayReply{Opened: true, Reaches: true}, func(t *peer.Tunnel) {
+	return &RelayReply{Opened: true, Reaches: true, Framed: request.Framed}, func(t *peer.Tunnel) {
 		defer d.relaying.Add(-1)
-		relayBytes(t, conn)
+		relayBytes(t, conn, request.Framed)
 	}, true
 }
 
@@ -366,26 +396,97 @@
 }
 
 // relayBytes passes bytes on in both directions until both have ended.
-func relayBytes(t *peer.Tunnel, server net.Conn) {
+func relayBytes(t *peer.Tunnel, server net.Conn, framed bool) {
+	up := &relayUplink{server: server}
 	fromServer := make(chan struct{})
 	go func() {
 		defer close(fromServer)
-		switch err := copyBytes(t, server); {
-		case err == nil:
-			_ = t.CloseWrite() // The other daemon closes the tunnel when it has read the end.
-		case errors.Is(err, syscall.ECONNRESET):
-			t.ResetFar()
-		default:
-			_ = t.Close()
+		if framed {
+			up.passFramed(t)
+			return
 		}
+		up.passRaw(t)
 	}()
+	if copyBytes(up, t); up.failed() {
+		// Closing the tunnel would drop what the server has sent before.
+		_, _ = io.Copy(io.Discard, t)
+	}
 	// An end of the bytes is no half-close: HTTP clients close both directions at once.
-	_ = copyBytes(server, t)
 	_ = server.Close()
 	_ = t.Close()
 	<-fromServer
 }
 
+// passFramed passes the server's bytes and their end on in frames.
+func (u *relayUplink) passFramed(t *peer.Tunnel) {
+	err := copyFrames(t, u.server)
+	switch delivered, inOrder := u.end(); {
+	case brokenByServer(err) || err == nil && !inOrder:
+		err = writeRelayEnd(t, farWasReset)
+	case err == nil:
+		err = writeRelayEnd(t, delivered)
+	}
+	if err != nil {
+		_ = t.Close()
+		return
+	}
+	_ = t.CloseWrite() // The other daemon closes the tunnel when it has read the end.
+}
+
+// passRaw is passFramed for a daemon of an earlier release. It can't be told how much has
+// been delivered.
+func (u *relayUplink) passRaw(t *peer.Tunnel) {
+	err := copyBytes(t, u.server)
+	switch _, inOrder := u.end(); {
+	case brokenByServer(err) || err == nil && !inOrder:
+		t.ResetFar()
+	case err == nil:
+		_ = t.CloseWrite()
+	default:
+		_ = t.Close()
+	}
+}
+
+// brokenByServer reports whether an error shows that the server has reset the connection.
+func brokenByServer(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// relayUplink writes the bytes of the other daemon to the server.
+type relayUplink struct {
+	server net.Conn
+
+	mu        sync.Mutex
+	delivered uint64
+	err       error
+}
+
+// Write implements io.Writer.
+func (u *relayUplink) Write(p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n, err := u.server.Write(p)
+	u.delivered += uint64(n)
+	u.err = err
+	return n, err
+}
+
+func (u *relayUplink) failed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err != nil
+}
+
+// end ends the writes once the server has ended the connection. It returns the number of
+// bytes that the server has got, and whether these are all that were written. A reset is
+// reported once: if a write got the error, the read has seen an ordinary end.
+func (u *relayUplink) end() (delivered uint64, inOrder bool) {
+	_ = u.server.SetWriteDeadline(time.Unix(1, 0)) // Ends a write in progress.
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.delivered, u.err == nil && !httpstrict.Undelivered(u.server)
+}
+
 func copyBytes(to io.Writer, from io.Reader) error {
 	buffer := relayBuffers.Get().(*[]byte)
 	defer relayBuffers.Put(buffer)
