platform, hosting/httpapi: broken answers of the store prove nothing

What callers saw: nothing yet; found while looking for other places of the same cause. An append that the store answered with a status of 000 counted as refused, one with a blank in a name as stored, and so did one whose answer without a length was cut while the record was on its way. A refused append is written again, so the record could be stored twice.

Cause: the store's client and the client of the platform's log used net/http without the check of package httpstrict.

Change: httpstrict.Transport wraps an http.Transport, also over TLS, and both clients use it. Their calls now fail, and an append is unknown.

--- a/hosting/httpapi/client.go
+++ b/hosting/httpapi/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/mimosakeel/mimosakeel/hosting"
+	"github.com/mimosakeel/mimosakeel/httpstrict"
 	"github.com/rotisserie/eris"
 )
 
@@ -61,20 +62,28 @@
 		return http.ErrUseLastResponse
 	}
 	if own.Transport == nil {
-		own.Transport = http.DefaultTransport
+		own.Transport = httpstrict.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 	}
-	_, traced := own.Transport.(*http.Transport)
-	return &Client{base: strings.TrimRight(baseURL, "/"), http: &own, traced: traced}
+	return &Client{base: strings.TrimRight(baseURL, "/"), http: &own, traced: reportsConnections(own.Transport)}
 }
 
-func newTransport() *http.Transport {
+// reportsConnections reports whether a transport reports its connections through httptrace.
+func reportsConnections(t http.RoundTripper) bool {
+	switch t.(type) {
+	case *http.Transport, *httpstrict.Transport:
+		return true
+	}
+	return false
+}
+
+func newTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return httpstrict.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-	}
+	})
 }
 
 // StatusError reports an answer with an unexpected HTTP status.
--- a/hosting/httpapi/httpapi_test.go
+++ b/hosting/httpapi/httpapi_test.go
@@ -15,6 +15,8 @@
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/hosting/hostingtest"
 	"github.com/mimosakeel/mimosakeel/hosting/httpapi"
+	"github.com/mimosakeel/mimosakeel/httpstrict"
+	"github.com/mimosakeel/mimosakeel/internal/rawserver"
 	"github.com/mimosakeel/mimosakeel/standin/fault"
 	fake "github.com/mimosakeel/mimosakeel/standin/platform"
 	. "github.com/onsi/ginkgo/v2"
@@ -95,6 +97,21 @@
 		Expect(outcome).To(Equal(hosting.OutcomeRefused))
 	})
 
+	DescribeTable("is unknown if the answer is malformed", func(client *http.Client, head string) {
+		addr := rawserver.Start(GinkgoTB(), func(conn rawserver.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, head+"Content-Length: 12\r\n\r\n{\"offset\":4}")
+		})
+		_, outcome, err := httpapi.New("http://"+addr, client).Append(ctx, "a", []byte("x"))
+		var malformed *httpstrict.MalformedError
+		Expect(errors.As(err, &malformed)).To(BeTrue(), "%v", err)
+		Expect(outcome).To(Equal(hosting.OutcomeUnknown))
+	},
+		Entry("status", nil, "HTTP/1.1 000 OK\r\n"),
+		Entry("name", nil, "HTTP/1.1 200 OK\r\nX Y: z\r\n"),
+		Entry("refusal", nil, "HTTP/1.1 409 Conflict\r\nX Y: z\r\n"),
+		Entry("client without a transport", &http.Client{}, "HTTP/1.1 200 OK\r\nX Y: z\r\n"),
+	)
+
 	It("is unknown if the answer is lost after the append", func() {
 		service, client := startFake()
 		service.Inject(fault.Fault{Kind: fake.FaultLoseAnswer, Target: "append", Count: 1})
