--- a/edge/relay_end_test.go
+++ b/edge/relay_end_test.go
@@ -202,3 +202,35 @@
 	_, err := io.ReadAll(newRelayFrameReader(&wire))
 	g.Expect(err).To(MatchError(peer.ErrFarReset))
 }
+
+// earlierRequest and earlierReply are the messages of releases without frames.
+type (
+	earlierRequest struct {
+		Addr string `cbor:"1,keyasint"`
+	}
+	earlierReply struct {
+		Opened  bool   `cbor:"1,keyasint,omitempty"`
+		Refused bool   `cbor:"2,keyasint,omitempty"`
+		Reaches bool   `cbor:"3,keyasint,omitempty"`
+		Error   string `cbor:"4,keyasint,omitempty"`
+	}
+)
+
+func (*earlierRequest) MessageKind() peer.Kind { return kindRelayRequest }
+func (*earlierReply) MessageKind() peer.Kind   { return kindRelayReply }
+
+// Guards against messages that daemons of different releases can't read.
+func TestRelayMessagesAreReadAcrossReleases(t *testing.T) {
+	for _, c := range []struct{ sent, want, got peer.Message }{
+		{&RelayRequest{Addr: "a", Framed: true}, &earlierRequest{Addr: "a"}, &earlierRequest{}},
+		{&earlierRequest{Addr: "a"}, &RelayRequest{Addr: "a"}, &RelayRequest{}},
+		{&RelayReply{Opened: true, Reaches: true, Framed: true}, &earlierReply{Opened: true, Reaches: true}, &earlierReply{}},
+		{&earlierReply{Opened: true, Reaches: true}, &RelayReply{Opened: true, Reaches: true}, &RelayReply{}},
+	} {
+		g := NewWithT(t)
+		frame, err := peer.Encode(c.sent)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(frame.Decode(c.got)).To(Succeed())
+		g.Expect(c.got).To(Equal(c.want))
+	}
+}
