--- a/backend/call.go
+++ b/backend/call.go
@@ -49,7 +49,7 @@
 
 // String returns the name of the failure in logs.
 func (f Failure) String() string {
-	return [...]string{"connect", "broken", "silent", "status", "garbage", "canceled", "guard", "no_path"}[f]
+	return [...]string{"connect", "broken", "silent", "status", "malformed", "canceled", "guard", "no_path"}[f]
 }
 
 // PathError is an error of the path to a server. Connections and functions that open them
--- a/event/explain.go
+++ b/event/explain.go
@@ -185,7 +185,8 @@
 	"connect":         "no connection to the server could be made",
 	"broken":          "the server's connection broke, and the request may not be sent again",
 	"silent":          "the server sent nothing for too long, and the request may not be sent again",
-	"garbage":         "the server's answer was unreadable, and the request may not be sent again",
+	"malformed":       "the server's answer was malformed, and the request may not be sent again",
+	"garbage":         "the server's answer was malformed, and the request may not be sent again", // Logs of earlier releases.
 	"foreign_answer":  "the server's answer carried another request's id or signature",
 	"misdirected":     "a server other than the chosen one answered",
 	"server_error":    "the server answered with an error and no attempt was left",
