--- a/edge/relay.go
+++ b/edge/relay.go
@@ -407,7 +407,8 @@
 		}
 		up.passRaw(t)
 	}()
-	if copyBytes(up, t); up.failed() {
+	_ = copyBytes(up, t) // Ends with the tunnel or with a failed write, which up holds.
+	if up.failed() {
 		// Closing the tunnel would drop what the server has sent before.
 		_, _ = io.Copy(io.Discard, t)
 	}
@@ -417,11 +418,11 @@
 	<-fromServer
 }
 
-// passFramed passes the server's bytes and their end on in frames.
+// passFramed passes the server's bytes on in frames, and then how they ended.
 func (u *relayUplink) passFramed(t *peer.Tunnel) {
 	err := copyFrames(t, u.server)
 	switch delivered, inOrder := u.end(); {
-	case brokenByServer(err) || err == nil && !inOrder:
+	case resetByServer(err) || err == nil && !inOrder:
 		err = writeRelayEnd(t, farWasReset)
 	case err == nil:
 		err = writeRelayEnd(t, delivered)
@@ -438,7 +439,7 @@
 func (u *relayUplink) passRaw(t *peer.Tunnel) {
 	err := copyBytes(t, u.server)
 	switch _, inOrder := u.end(); {
-	case brokenByServer(err) || err == nil && !inOrder:
+	case resetByServer(err) || err == nil && !inOrder:
 		t.ResetFar()
 	case err == nil:
 		_ = t.CloseWrite()
@@ -447,8 +448,8 @@
 	}
 }
 
-// brokenByServer reports whether an error shows that the server has reset the connection.
-func brokenByServer(err error) bool {
+// resetByServer reports whether an error shows that the server has reset the connection.
+func resetByServer(err error) bool {
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
@@ -478,8 +479,8 @@
 }
 
 // end ends the writes once the server has ended the connection. It returns the number of
-// bytes that the server has got, and whether these are all that were written. A reset is
-// reported once: if a write got the error, the read has seen an ordinary end.
+// bytes that were written, and whether the server has got all of them. A reset is reported
+// once: if a write got the error, the read has seen an ordinary end.
 func (u *relayUplink) end() (delivered uint64, inOrder bool) {
 	_ = u.server.SetWriteDeadline(time.Unix(1, 0)) // Ends a write in progress.
 	u.mu.Lock()
--- a/httpstrict/conn.go
+++ b/httpstrict/conn.go
@@ -41,7 +41,7 @@
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
 // Begin makes the connection expect the response to a request, of which nothing has been
-// written. It closes the connection if the response before has not ended.
+// written. It closes the connection if the previous response has not ended.
 func (c *Conn) Begin(req *http.Request) {
 	c.writeMu.Lock()
 	length := bodyLength(req)
