--- a/review/rig-3/reborn.go
+++ b/review/rig-3/reborn.go
@@ -56,6 +56,8 @@
 	lapseAfter = 3 * beatInterval
 	// rebornAfter is the time after which a crashed server is back.
 	rebornAfter = 1 * time.Second
+	// retryPause is the time after which a consumer takes a broken stream up.
+	retryPause = 1200 * time.Millisecond
 	// cutFor is the length of the partition, which the pages bound by 6 s.
 	cutFor = 5500 * time.Millisecond
 )
@@ -100,26 +102,18 @@
 			d := s.daemons[i%len(s.daemons)]
 			r := request{id: newID(), path: path, body: "draft", tokens: tokens, allowed: 6 * time.Second}
 			a := send(context.Background(), d.clients, r, nil)
-			body, last := a.body, a.lastID
+			body, last, whole := a.body, a.lastID, a.whole
 			s.record.add("stream %s at %s: status %d, %d events, last %s, whole %t, %v", r.id, d.name, a.status, a.events, a.lastID, a.whole, a.err)
-			whole := a.whole
-			for try := 0; try < 3 && !whole && last != ""; try++ {
-				// The consumer's own pause; a Retry-After is honoured.
-				time.Sleep(500 * time.Millisecond)
+			if !whole && last != "" {
+				// The consumer retries once.
+				time.Sleep(retryPause)
 				left := 6*time.Second - time.Since(a.begin)
-				if left <= 0 {
-					break
-				}
-				d := s.daemons[(i+1+try)%len(s.daemons)]
+				d := s.daemons[(i+1)%len(s.daemons)]
 				up := request{id: newID(), path: path, body: "draft", tokens: tokens, allowed: left, after: last, resumes: r.id}
 				b := send(context.Background(), d.clients, up, nil)
 				s.record.add("take-up %s of %s behind %s at %s: status %d, %d events, last %s, whole %t, retry after %q, %v",
 					up.id, r.id, last, d.name, b.status, b.events, b.lastID, b.whole, b.header.Get("Retry-After"), b.err)
 				body += b.body
-				if b.lastID != "" {
-					last = b.lastID
-				}
-				whole = b.whole && b.events > 0
 			}
 			v1, v2 := strings.Contains(body, " of v1\n"), strings.Contains(body, " of v2\n")
 			mu.Lock()
