--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -27,6 +27,7 @@
 	"reborn":  playReborn,
 	"leaving": playLeaving,
 	"usage":   playUsage,
+	"roles":   playRoles,
 }
 
 func main() { os.Exit(run()) }
