--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 # TROUBLE=0 plays the case without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/rig-3 leaving review/15
+exec target/rig-3 gaps review/15
--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,8 @@
 	allowed time.Duration
 	after   string
 	resumes string
+	// parts describes the prompt; a common one if empty.
+	parts string
 }
 
 // answer is what the consumer saw.
@@ -64,7 +67,7 @@
 	if r.tokens != "" {
 		req.Header.Set(names.Tokens, r.tokens)
 		req.Header.Set(names.Model, "m")
-		req.Header.Set(names.Parts, "aa:500,"+r.id+":100")
+		req.Header.Set(names.Parts, cmp.Or(r.parts, "aa:500,"+r.id+":100"))
 	}
 	if r.after != "" {
 		req.Header.Set("Last-Event-Id", r.after)
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -23,11 +23,11 @@
 type play func(s *system, trouble bool) (broken bool, err error)
 
 var cases = map[string]play{
-	"gaps":    playGaps,
-	"reborn":  playReborn,
-	"leaving": playLeaving,
-	"usage":   playUsage,
-	"roles":   playRoles,
+	"deadly": playDeadly,
+	"gaps":   playGaps,
+	"reborn": playReborn,
+	"usage":  playUsage,
+	"roles":  playRoles,
 }
 
 func main() { os.Exit(run()) }
