--- a/review/rig-3/deadly.go
+++ b/review/rig-3/deadly.go
@@ -21,7 +21,7 @@
 	// the number of requests that may reach engines later than contactTime after it.
 	countedCrashes, allowedLater = 5, 3
 	soundPerSecond               = 30
-	deadlyEvery                  = 600 * time.Millisecond
+	deadlyEvery                  = 400 * time.Millisecond
 	deadlyFor                    = 14 * time.Second
 )
 
