--- a/review/rig-3/reborn.go
+++ b/review/rig-3/reborn.go
@@ -58,8 +58,8 @@
 	rebornAfter = 1 * time.Second
 	// retryPause is the time after which a consumer takes a broken stream up.
 	retryPause = 1200 * time.Millisecond
-	// cutFor is the length of the partition, which the pages bound by 6 s.
-	cutFor = 5500 * time.Millisecond
+	// cutFor is the length of the partition, the default of the pages for such entries.
+	cutFor = 5 * time.Second
 )
 
 // playReborn restarts the last server of an old software version behind a partition from
