edge: a new lease holder asks which usage windows are closed after a drill of the store

A holder is suspended or cut off while another one closes the window; then the store comes back from a copy without that record.

Cause: a holder tells up to eight daemons once which windows it has closed. A daemon that wasn't reached took all windows since the first one that it was told of for known, and closed the others again with its own counts. Related: a window reported from a predecessor's record was told to nobody and forgotten; a skipped window was closed by the next holder; a copy without any usage record left the ledger of an earlier term in place.

Change: a holder whose loaded ledger is copied or missing asks all live daemons. It takes over what they know as closed, and closes another window that has ended only if at least half of the daemons have watched the lease since its end and every holder that they have seen has answered. Other windows are skipped, with a log line, and the stored ledger says so. Daemons of earlier releases ignore the question and count as not watching.

In TestNewHolderWaitsForUsageCountsOfOthers the ledger of the predecessor is in the store instead of in memory, since memory is no longer trusted when the store has no record. memoryTopics uses positions of its history everywhere.

--- a/edge/control.go
+++ b/edge/control.go
@@ -328,7 +328,7 @@
 	before := c.routable
 	c.live, c.routable = a.Live, a.Routable
 	c.highCapacity = c.highCapacityMembers()
-	c.duties.updateRank(c.highCapacity, c.routable)
+	c.duties.updateRank(c.highCapacity, c.routable, c.live)
 	c.dirty = true
 	for _, vm := range before.IDs() {
 		if !c.routable.Contains(vm) {
@@ -375,6 +375,10 @@
 	case *UsageCounts:
 		c.duties.ledger.Merge(m.Incarnation, m.Windows)
 		c.duties.ledger.NoteClosed(m.Closed)
+	case *ClosedInquiry:
+		c.duties.answerClosed(ev.from, m)
+	case *ClosedWindows:
+		c.duties.closedAnswered(ev.from, m)
 	case *Push:
 		c.applyPush(now, ev.from, m)
 	case *FeedNotice:
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -13,6 +13,7 @@
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/metering"
+	"github.com/mimosakeel/mimosakeel/peer"
 )
 
 const (
@@ -99,7 +100,7 @@
 	ctx         context.Context
 	clock       *metering.Clock
 	counter     *metering.Counter
-	send        func(vm string, m *UsageCounts)
+	send        func(vm string, m peer.Message)
 
 	machine *authority.Machine
 	ledger  *metering.Ledger
@@ -117,8 +118,12 @@
 	reportNext time.Time
 	countsNext time.Time
 	// closeFrom is the earliest time at which this holder closes windows.
-	closeFrom    time.Time
+	closeFrom time.Time
+	watch     *leaseWatch
+	// survey is set while the loaded ledger may lack closed windows.
+	survey       *closedSurvey
 	countsTo     []string
+	live         *member.Set
 	highCapacity *member.Set
 	// storeLost is set if the last call on the lease topic failed.
 	storeLost atomic.Bool
@@ -146,6 +151,8 @@
 		ledger:       metering.NewLedger(metering.Config{Length: u.Window, Grace: u.Grace, Due: u.Due}),
 		loadedTerm:   hosting.NoOffset,
 		reportable:   map[metering.Window]bool{},
+		watch:        newLeaseWatch(bootNow(), u.Window+u.Due+gatherTime),
+		live:         member.NewSet(nil),
 		highCapacity: member.NewSet(nil),
 	}
 }
@@ -153,8 +160,8 @@
 // updateRank updates this daemon's rank among the challengers. Daemons on larger
 // VMs come first, but every routable daemon is a challenger, because the store
 // may refuse the calls of some.
-func (d *duties) updateRank(highCapacity, routable *member.Set) {
-	d.highCapacity = highCapacity
+func (d *duties) updateRank(highCapacity, routable, live *member.Set) {
+	d.highCapacity, d.live = highCapacity, live
 	rank := slices.Index(highCapacity.Ranks(dutyName, highCapacity.Len()), d.vm)
 	if rank < 0 {
 		if rank = slices.Index(routable.Ranks(dutyName, routable.Len()), d.vm); rank >= 0 {
@@ -180,7 +187,7 @@
 			go d.load(a.Term)
 		case authority.Lost:
 			d.events.Record(event.KindLease, "lost", formatInt(a.Term))
-			d.loadedTerm, d.submitted = hosting.NoOffset, nil
+			d.loadedTerm, d.submitted, d.survey = hosting.NoOffset, nil, nil
 			d.fleet.lost()
 		case authority.RecordAppended:
 			d.recordAppended(a.Key)
@@ -301,35 +308,49 @@
 		go d.load(term)
 		return
 	}
-	for _, r := range ev.records {
-		e, err := authority.Decode(r.Value)
-		if err != nil || r.Key != usageKey {
-			continue
-		}
-		copied := e.History != hosting.History(r.Offset)
-		if err := d.ledger.Load(e.Body, copied, d.clock.Now()); err != nil {
-			d.events.Record(event.KindFault, "usage_unreadable", "", event.F("error", err.Error()))
-		}
+	if !d.loadLedger(ev.records) {
+		d.askClosed(term)
 	}
 	clear(d.reportable)
 	for _, c := range d.ledger.Unreported() {
 		d.reportable[c.Window] = true
 	}
-	d.ledger.Begin(d.clock.Now())
 	d.loadedTerm = term
 	d.closeFrom = now.Add(gatherTime)
 	d.fleet.gained(now, term, ev.records)
 }
 
+// loadLedger loads the usage ledger of the previous holder. It returns false if the ledger
+// may lack windows that were closed: the store has none, or continues from an older copy.
+func (d *duties) loadLedger(records []hosting.KeyedRecord) (complete bool) {
+	for _, r := range records {
+		e, err := authority.Decode(r.Value)
+		if err != nil || r.Key != usageKey {
+			continue
+		}
+		if err := d.ledger.Load(e.Body); err != nil {
+			d.events.Record(event.KindFault, "usage_unreadable", "", event.F("error", err.Error()))
+			break
+		}
+		return e.History == hosting.History(r.Offset)
+	}
+	d.ledger.Reset()
+	return false
+}
+
 // tick steps the lease, delivers usage counts, and performs the due tasks of the
 // lease holder.
 func (d *duties) tick(now time.Time) {
 	d.step(authority.Tick{})
+	d.watchLease()
 	d.deliverCounts(now)
 	term, ok := d.machine.Authority(bootNow())
 	if !ok || term != d.loadedTerm {
 		return
 	}
+	if d.survey != nil && !now.Before(d.closeFrom) {
+		d.restoreClosed()
+	}
 	if trueTime := d.clock.Now(); !now.Before(d.closeFrom) && (d.ledger.Close(trueTime) || d.ledger.NeedsDraft(trueTime)) {
 		d.submit()
 	}
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -14,6 +14,7 @@
 	"github.com/mimosakeel/mimosakeel/hosting"
 	"github.com/mimosakeel/mimosakeel/member"
 	"github.com/mimosakeel/mimosakeel/metering"
+	"github.com/mimosakeel/mimosakeel/peer"
 	"github.com/mimosakeel/mimosakeel/provision"
 )
 
@@ -60,8 +61,13 @@
 }
 
 func newDutyHarness(t *testing.T, topics hosting.Topics, lease time.Duration, u UsageSettings) *dutyHarness {
-	h := &dutyHarness{duties: newDuties("vm-1", "vm-1.a", lease, u), inbox: make(chan any, 64), usage: &usageFake{}}
-	events := event.NewRecorder(hlc.New(time.Now), "vm-1", nil, zerolog.Nop())
+	return newDutyHarnessOf(t, "vm-1", topics, lease, u)
+}
+
+// newDutyHarnessOf is newDutyHarness for the daemon of a VM.
+func newDutyHarnessOf(t *testing.T, vm string, topics hosting.Topics, lease time.Duration, u UsageSettings) *dutyHarness {
+	h := &dutyHarness{duties: newDuties(vm, vm+".a", lease, u), inbox: make(chan any, 64), usage: &usageFake{}}
+	events := event.NewRecorder(hlc.New(time.Now), vm, nil, zerolog.Nop())
 	t.Cleanup(events.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -69,9 +75,9 @@
 	h.duties.usage, h.fleet = h.usage, noFleet{}
 	h.emit = func(ev any) { h.inbox <- ev }
 	h.clock, h.counter = metering.NewClock(bootNow, time.Now), metering.NewCounter(u.Window)
-	h.send = func(string, *UsageCounts) {}
-	one := member.NewSet([]member.Candidate{{ID: "vm-1"}})
-	h.updateRank(one, one)
+	h.send = func(string, peer.Message) {}
+	one := member.NewSet([]member.Candidate{{ID: vm}})
+	h.updateRank(one, one, one)
 	return h
 }
 
@@ -97,10 +103,12 @@
 func TestNewHolderWaitsForUsageCountsOfOthers(t *testing.T) {
 	g := NewWithT(t)
 	settings := UsageSettings{Window: time.Second, Grace: 100 * time.Millisecond, Due: 6 * time.Second}
-	h := newDutyHarness(t, newMemoryTopics(), 300*time.Millisecond, settings)
+	topics := newMemoryTopics()
+	h := newDutyHarness(t, topics, 300*time.Millisecond, settings)
 	// The ledger of a successor starts at the windows that are not reported yet.
 	ended := metering.WindowAt(time.Now().Add(-2*time.Second), time.Second)
-	g.Expect(h.ledger.Load([]byte("{\"closed\":[{\"window\":"+formatInt(int64(ended-1))+",\"counts\":{},\"reported\":true}]}"), false, time.Now())).To(Succeed())
+	stored := usageRecord([]byte("{\"closed\":[{\"window\":"+formatInt(int64(ended-1))+",\"counts\":{},\"reported\":true}]}"), 0)
+	topics.set(func() { topics.records = []hosting.KeyedRecord{stored} })
 	var gained time.Time
 	delivered := false
 	h.run(8*time.Second, func() {
@@ -148,15 +156,16 @@
 	h := newDutyHarness(t, newMemoryTopics(), time.Second, settings)
 	sent := map[string]map[string]metering.Counts{}
 	window := metering.WindowAt(time.Now(), time.Second)
-	h.send = func(vm string, m *UsageCounts) {
+	h.send = func(vm string, message peer.Message) {
 		if sent[vm] == nil {
 			sent[vm] = map[string]metering.Counts{}
 		}
+		m := message.(*UsageCounts)
 		sent[vm][m.Incarnation] = m.Windows[window]
 	}
 	h.ledger.Merge("vm-3.gone", map[metering.Window]metering.Counts{window: {"acme": 9}})
 	two := member.NewSet([]member.Candidate{{ID: "vm-1"}, {ID: "vm-2"}})
-	h.updateRank(two, two)
+	h.updateRank(two, two, two)
 	h.deliverCounts(time.Now())
 	g.Expect(sent["vm-2"]).To(HaveKeyWithValue("vm-3.gone", metering.Counts{"acme": 9}))
 	sent = map[string]map[string]metering.Counts{}
@@ -172,46 +181,3 @@
 	f := &fleetControl{events: events, services: map[string]*serviceFleet{"llm": {roles: map[string]*provision.Roles{}}}}
 	f.handle(time.Now(), roleOrdered{service: "llm", pool: "pool//llm/1", outcome: hosting.OutcomeRefused})
 }
-
-// Guards against a window that is reported twice with different counts because the
-// store has lost the record that it was closed.
-func TestLostUsageRecordDoesNotCloseAWindowAgain(t *testing.T) {
-	g := NewWithT(t)
-	settings := UsageSettings{Window: time.Second, Grace: 0, Due: 10 * time.Second}
-	holder := newDutyHarness(t, newMemoryTopics(), time.Second, settings)
-	successor := newDutyHarness(t, newMemoryTopics(), time.Second, settings)
-	newcomer := newDutyHarness(t, newMemoryTopics(), time.Second, settings)
-	holder.send = func(vm string, m *UsageCounts) {
-		if vm == "vm-2" {
-			successor.ledger.Merge(m.Incarnation, m.Windows)
-			successor.ledger.NoteClosed(m.Closed)
-		}
-	}
-	two := member.NewSet([]member.Candidate{{ID: "vm-1"}, {ID: "vm-2"}})
-	holder.updateRank(two, two)
-	first := metering.Window(1000)
-	holder.ledger.Begin((first - 1).Start(time.Second))
-	holder.ledger.Close(first.Start(time.Second))
-	holder.ledger.Confirm(first - 1)
-	older := holder.ledger.Encode()
-	holder.ledger.Merge("vm-3.a", map[metering.Window]metering.Counts{first: {"acme": 7}})
-	holder.ledger.Close(first.End(time.Second))
-	holder.submit()
-	holder.recordAppended(usageKey)
-
-	now := (first + 2).Start(time.Second)
-	for name, h := range map[string]*dutyHarness{"holder": holder, "successor": successor, "newcomer": newcomer} {
-		h.ledger.Merge("vm-3.a", map[metering.Window]metering.Counts{first: {"acme": 9}, first + 1: {"acme": 1}})
-		g.Expect(h.ledger.Load(older, true, now)).To(Succeed())
-		h.ledger.Close(now)
-		closed := map[metering.Window]metering.Counts{}
-		for _, c := range h.ledger.Unreported() {
-			closed[c.Window] = c.Counts
-		}
-		if name == "newcomer" {
-			g.Expect(closed).To(BeEmpty(), "windows that may have been reported already")
-			continue
-		}
-		g.Expect(closed).To(Equal(map[metering.Window]metering.Counts{first: {"acme": 7}, first + 1: {"acme": 1}}), name)
-	}
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -187,7 +187,7 @@
 	out.usage, out.events = d.Config.Usage, d.Events
 	out.emit = d.control.emit
 	out.clock, out.counter = d.clock, d.counter
-	out.send = func(vm string, m *UsageCounts) { d.send(vm, m) }
+	out.send = d.send
 	d.control.fleet = d.newFleet(out)
 	out.fleet = d.control.fleet
 	return out
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -22,7 +22,7 @@
 	mu      sync.Mutex
 	records []hosting.KeyedRecord
 	first   int64
-	// history is the history of the positions that Put returns.
+	// history is the history of all positions.
 	history int64
 	down    bool
 	// refused is the number of reads that have failed because down is set.
@@ -48,10 +48,13 @@
 	change()
 }
 
+// end returns the position behind the last record. The caller holds the mutex.
+func (m *memoryTopics) end() int64 { return hosting.Position(m.history, int64(len(m.records))) }
+
 func (m *memoryTopics) Put(_ context.Context, topic hosting.Topic, at int64, r hosting.KeyedRecord) (int64, hosting.Outcome, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	end := int64(len(m.records))
+	end := m.end()
 	switch {
 	case m.down:
 		return 0, hosting.OutcomeRefused, errDown
@@ -62,14 +65,14 @@
 	m.records = append(m.records, r)
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return hosting.Position(m.history, end), hosting.OutcomeDone, nil
+	return end, hosting.OutcomeDone, nil
 }
 
 func (m *memoryTopics) Follow(ctx context.Context, topic hosting.Topic, from int64, wait time.Duration) (hosting.KeyedPage, error) {
 	timeout := time.After(wait)
 	for {
 		m.mu.Lock()
-		changed, end := m.changed, int64(len(m.records))
+		changed, end := m.changed, m.end()
 		records, first, down := m.records, m.first, m.down
 		if down {
 			m.refused++
@@ -81,7 +84,7 @@
 		case from < first:
 			return hosting.KeyedPage{}, &hosting.TrimmedError{Stream: topic.String(), First: first}
 		case from < end:
-			return hosting.KeyedPage{End: end, Records: records[from:]}, nil
+			return hosting.KeyedPage{End: end, Records: records[hosting.OffsetIn(from):]}, nil
 		}
 		select {
 		case <-changed:
@@ -100,7 +103,7 @@
 		m.refused++
 		return hosting.KeyedPage{}, errDown
 	}
-	return hosting.KeyedPage{End: int64(len(m.records)), Records: m.records}, nil
+	return hosting.KeyedPage{End: m.end(), Records: m.records}, nil
 }
 
 // Guards against records that are lost or late when the store fails, when it
--- a/edge/message.go
+++ b/edge/message.go
@@ -32,6 +32,8 @@
 	kindRelayRequest  peer.Kind = 47
 	kindRelayReply    peer.Kind = 48
 	kindStreamCopies  peer.Kind = 49
+	kindClosedInquiry peer.Kind = 50
+	kindClosedWindows peer.Kind = 51
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -183,6 +185,10 @@
 		return &RolesChanging{}
 	case kindCounts:
 		return &UsageCounts{}
+	case kindClosedInquiry:
+		return &ClosedInquiry{}
+	case kindClosedWindows:
+		return &ClosedWindows{}
 	case kindCrashReport:
 		return &CrashReport{}
 	case kindServedInquiry:
--- a/edge/scale_test.go
+++ b/edge/scale_test.go
@@ -68,7 +68,7 @@
 	c.duties = newDuties(vm, incarnation, time.Second, UsageSettings{Window: time.Second})
 	c.duties.ctx, c.duties.topics, c.duties.emit = tb.Context(), newMemoryTopics(), func(any) {}
 	c.duties.clock = metering.NewClock(bootNow, time.Now)
-	c.duties.counter, c.duties.send = metering.NewCounter(time.Second), func(string, *UsageCounts) {}
+	c.duties.counter, c.duties.send = metering.NewCounter(time.Second), func(string, peer.Message) {}
 	c.clock = c.duties.clock
 	c.fleet = d.newFleet(c.duties)
 	c.quarantine = newQuarantineControl(c, DefaultSettings().Quarantine, newContentGuard(c.clock.Now))
--- a/metering/ledger.go
+++ b/metering/ledger.go
@@ -59,6 +59,9 @@
 // storedLedger is the stored form of a ledger.
 type storedLedger struct {
 	Closed []Closed `json:"closed"`
+	// Next is the next window to close. It exceeds the windows that were skipped because
+	// an earlier holder may have closed them.
+	Next Window `json:"next_to_close,omitempty"`
 	// Open holds the counts of the windows that are not closed, by process.
 	Open map[string]map[Window]Counts `json:"open,omitempty"`
 }
@@ -68,11 +71,28 @@
 	return &Ledger{cfg: cfg, counts: map[string]map[Window]Counts{}, noted: map[Window]Closed{}}
 }
 
-// NoteClosed records windows that a holder has closed and stored.
+// NoteClosed records windows that a holder has closed and stored. The counts that were
+// noted first are kept.
 func (l *Ledger) NoteClosed(closed []Closed) {
 	for _, c := range closed {
-		l.noted[c.Window] = c
+		if _, known := l.noted[c.Window]; !known {
+			l.noted[c.Window] = c
+		}
+	}
+	if len(l.noted) > keptWindows {
+		newest := slices.Max(slices.Collect(maps.Keys(l.noted)))
+		maps.DeleteFunc(l.noted, func(w Window, _ Closed) bool { return w < newest-keptWindows })
+	}
+}
+
+// Noted returns the windows that this or another holder has closed and stored, as far as
+// this daemon knows, in ascending order.
+func (l *Ledger) Noted() []Closed {
+	var out []Closed
+	for _, w := range slices.Sorted(maps.Keys(l.noted)) {
+		out = append(out, l.noted[w])
 	}
+	return out
 }
 
 // Merge adds the counts of a process. Of two counts for the same window and
@@ -93,50 +113,60 @@
 	}
 }
 
-// Load decodes the stored ledger of the previous holder, replaces the closed
-// windows and merges the counts of the open ones. copied is set if the ledger was
-// stored before the store continued from an older copy. Windows that have been closed
-// since remain so; of those that have ended by the given true time, the ones that may
-// have been closed without this daemon's knowledge are skipped.
-func (l *Ledger) Load(body []byte, copied bool, now time.Time) error {
+// Load decodes the stored ledger of the previous holder, replaces the closed windows and
+// merges the counts of the open ones. A ledger that was stored before the store continued
+// from an older copy must be completed with Restore before windows are closed.
+func (l *Ledger) Load(body []byte) error {
 	var s storedLedger
 	if err := json.Unmarshal(body, &s); err != nil {
 		return eris.Wrap(err, "decode usage ledger")
 	}
 	l.closed = s.Closed
-	l.nextToClose = 0
+	l.nextToClose = s.Next
 	for _, c := range s.Closed {
 		l.nextToClose = max(l.nextToClose, c.Window+1)
 	}
+	l.NoteClosed(s.Closed)
 	for process, windows := range s.Open {
 		l.Merge(process, windows)
 	}
-	if copied {
-		l.restoreClosed(now)
-	}
 	return nil
 }
 
-// restoreClosed adds the noted windows to the closed ones.
-func (l *Ledger) restoreClosed(now time.Time) {
-	knownFrom := WindowAt(now, l.cfg.Length)
-	for _, w := range slices.Sorted(maps.Keys(l.noted)) {
-		knownFrom = min(knownFrom, w)
-		if !slices.ContainsFunc(l.closed, func(c Closed) bool { return c.Window == w }) {
-			l.closed = append(l.closed, l.noted[w])
+// Reset forgets the closed windows, because the store holds no ledger. It must be
+// completed with Restore before windows are closed.
+func (l *Ledger) Reset() {
+	l.closed, l.nextToClose = nil, 0
+}
+
+// Restore adds the noted windows to the closed ones after the store may have lost records.
+// Of the other windows that have ended by the given true time, it skips those that any
+// holder may have closed: open reports for the time since the end of a window that none
+// has. It returns the number of skipped windows whose reports aren't overdue.
+func (l *Ledger) Restore(now time.Time, open func(sinceEnd time.Duration) bool) (skipped int) {
+	for _, c := range l.Noted() {
+		if !slices.ContainsFunc(l.closed, func(have Closed) bool { return have.Window == c.Window }) {
+			l.closed = append(l.closed, c)
+		}
+		l.nextToClose = max(l.nextToClose, c.Window+1)
+	}
+	l.nextToClose = max(l.nextToClose, WindowAt(now.Add(-l.cfg.Due), l.cfg.Length))
+	for current := WindowAt(now, l.cfg.Length); l.nextToClose < current; l.nextToClose++ {
+		if open(now.Sub(l.nextToClose.End(l.cfg.Length))) {
+			break
 		}
-		l.nextToClose = max(l.nextToClose, w+1)
+		skipped++
 	}
-	l.nextToClose = max(l.nextToClose, knownFrom)
+	return skipped
 }
 
 // Encode returns the stored form of the ledger. It omits the counts of open
 // windows if the result would exceed maxStored.
 func (l *Ledger) Encode() []byte {
-	s := storedLedger{Closed: l.closed, Open: l.Open()}
+	s := storedLedger{Closed: l.closed, Next: l.nextToClose, Open: l.Open()}
 	body, err := json.Marshal(s)
 	if err == nil && len(body) > maxStored {
-		body, err = json.Marshal(storedLedger{Closed: l.closed})
+		body, err = json.Marshal(storedLedger{Closed: l.closed, Next: l.nextToClose})
 	}
 	if err != nil {
 		panic(err) // Strings and numbers can always be encoded.
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -93,13 +93,49 @@
 
 	second := NewLedger(config)
 	second.Merge("p1", map[Window]Counts{base: {"acme": 5}})
-	g.Expect(second.Load(first.Encode(), false, time.Time{})).To(Succeed())
+	g.Expect(second.Load(first.Encode())).To(Succeed())
 	second.Close(base.End(length).Add(config.Grace))
 	g.Expect(second.Unreported()).To(Equal([]Closed{{Window: base, Counts: Counts{"acme": 3}}}))
 	second.Confirm(base)
 	g.Expect(second.Unreported()).To(BeEmpty())
 }
 
+// Guards against a successor that closes a window that its predecessor skipped because an
+// earlier holder may have reported it.
+func TestSkippedWindowsStaySkipped(t *testing.T) {
+	g := NewWithT(t)
+	first, second := NewLedger(config), NewLedger(config)
+	base := Window(1000)
+	now := base.End(length).Add(config.Grace)
+	first.Reset()
+	g.Expect(first.Restore(now, func(time.Duration) bool { return false })).To(BeNumerically(">", 0))
+	first.Merge("p1", map[Window]Counts{base: {"acme": 3}})
+	g.Expect(second.Load(first.Encode())).To(Succeed())
+	second.Merge("p1", map[Window]Counts{base: {"acme": 3}})
+	second.Close(now)
+	g.Expect(second.Unreported()).To(BeEmpty())
+}
+
+// Guards against a window that is closed again by a daemon that has reported it from the
+// record of its predecessor, after the store has lost that record.
+func TestLoadedWindowsStayClosed(t *testing.T) {
+	g := NewWithT(t)
+	first, second := NewLedger(config), NewLedger(config)
+	base := Window(1000)
+	now := base.End(length).Add(config.Grace)
+	first.Begin(base.Start(length))
+	older := first.Encode()
+	first.Merge("p1", map[Window]Counts{base: {"acme": 3}})
+	first.Close(now)
+	g.Expect(second.Load(first.Encode())).To(Succeed())
+	second.Confirm(base)
+	second.Merge("p1", map[Window]Counts{base: {"acme": 5}})
+	g.Expect(second.Load(older)).To(Succeed())
+	second.Restore(now, func(time.Duration) bool { return true })
+	second.Close(now)
+	g.Expect(second.Unreported()).To(Equal([]Closed{{Window: base, Counts: Counts{"acme": 3}}}))
+}
+
 // Guards against losing all counts of a window that has ended if all daemons are
 // killed before it is closed.
 func TestDraftedCountsSurviveLossOfAllDaemons(t *testing.T) {
@@ -114,7 +150,7 @@
 	g.Expect(first.NeedsDraft(base.End(length).Add(draftDelay))).To(BeFalse(), "only one draft per window")
 
 	second := NewLedger(config)
-	g.Expect(second.Load(first.Encode(), false, time.Time{})).To(Succeed())
+	g.Expect(second.Load(first.Encode())).To(Succeed())
 	second.Begin(base.Start(length))
 	// A process that is still running delivers its counts again.
 	second.Merge("p2", map[Window]Counts{base: {"acme": 5}})
