provision: roles are planned for each software version

What callers saw: after one engine crashed, none of 30 streams that clients took up again went on (LOST), though two more engines of their software version served: both did prefill, and every attempt was refused as no_server_of_version.

Cause: the decode role is counted over all engines of a pool, and given by price, failure domain and ID. A version may have one decode engine.

Change: in a pool with several versions the role goes to few of them, each with two engines or more; a version without decode engines has no streams to lose. While engines come and go, and for 10 s after that, versions that have streams keep their decode engines and get a second one that is up, and engines leave the role one at a time and only below a third of prefill engines. The scheduler of a pool tells the lease holder which engines take no connections. Requests that continue a stream are no longer refused for the error margin of a prediction. A pool of one version is planned as before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -92,6 +92,8 @@
 	// one of another daemon.
 	workTick     func(now time.Time)
 	workReported func(from string, m *WorkReport)
+	// downTold holds the engines of which the lease holder was told that they are down.
+	downTold downEngines
 	// schedulersChanged is called when pools have got another scheduler or a scheduler
 	// was restarted.
 	schedulersChanged func(now time.Time)
@@ -370,6 +372,8 @@
 		c.answerPull(now, ev.from, m)
 	case *RolesChanging:
 		c.addRoleChanges(now, m)
+	case *EngineDown:
+		c.fleet.down.note(now, c.servers.Load().server(m.Server))
 	case *PoolDemand:
 		c.fleet.addDemand(now, ev.from, m)
 	case *UsageCounts:
@@ -412,6 +416,7 @@
 		if m.Down != "" {
 			c.recordFault("server_down", m.Down, event.F("reported_by", ev.from), event.F("pool", m.Pool),
 				event.F("for", engineDownBackoff.String()))
+			c.reportDown(now, m.Down)
 		}
 		c.host.Release(now, m)
 	}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -102,6 +102,7 @@
 	observed   map[string]observedCount
 	// badDemand holds the last problem of the reports of a pool, by pool.
 	badDemand map[string]string
+	down      downEngines
 }
 
 // observedCount is a number of engines and the time since which it has been
@@ -176,7 +177,7 @@
 		f.services[s.Name] = plan
 	}
 	listed := f.control.servers.Load().ofService(s.Name)
-	engines := provisionEngines(listed)
+	engines := f.provisionEngines(now, listed)
 	base, known := f.baseCount(now, s.Name, len(engines))
 	byDemand := f.settings.Plan == planDemand
 	if byDemand != (plan.need != nil) {
@@ -272,12 +273,13 @@
 	return cfg
 }
 
-func provisionEngines(servers []*registry.Server) []provision.Engine {
+func (f *fleetControl) provisionEngines(now time.Time, servers []*registry.Server) []provision.Engine {
 	out := make([]provision.Engine, 0, len(servers))
 	for _, s := range servers {
 		out = append(out, provision.Engine{
-			ID: s.ID, Born: s.StartedMs, FailureDomain: s.FailureDomain, Role: s.Role, Cheap: s.Cheap,
-			Leaving: s.Draining, Evicted: s.Draining && s.StopsIn > 0,
+			ID: s.ID, Born: s.StartedMs, FailureDomain: s.FailureDomain, Version: s.SoftwareVersion,
+			Role: s.Role, Cheap: s.Cheap,
+			Down: f.down.has(now, s), Leaving: s.Draining, Evicted: s.Draining && s.StopsIn > 0,
 		})
 	}
 	return out
--- a/edge/message.go
+++ b/edge/message.go
@@ -34,6 +34,7 @@
 	kindStreamCopies  peer.Kind = 49
 	kindClosedInquiry peer.Kind = 50
 	kindClosedWindows peer.Kind = 51
+	kindEngineDown    peer.Kind = 52
 )
 
 // Heartbeat is sent to each peer every heartbeat interval.
@@ -189,6 +190,8 @@
 		return &ClosedInquiry{}
 	case kindClosedWindows:
 		return &ClosedWindows{}
+	case kindEngineDown:
+		return &EngineDown{}
 	case kindCrashReport:
 		return &CrashReport{}
 	case kindServedInquiry:
--- a/pool/filter_version_test.go
+++ b/pool/filter_version_test.go
@@ -138,3 +138,23 @@
 		g.Expect(counts).To(Equal(map[string]int{"r0": cfg.MaxOpen + 2*maxSkippedBacklogs, "r1": 2 * maxSkippedBacklogs}))
 	}
 }
+
+// Guards against a refused continuation of a stream because predictions have been off by
+// more than the time that is left. Its client has no time for another attempt.
+func TestContinuedStreamIsTriedWithoutErrorMargin(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := versionPool(DefaultConfig(), backend.RoleMixed, "v1", "v1")
+	for _, r := range p.runners {
+		if r != nil {
+			r.predictor.firstToken.meanAbsError = 2
+		}
+	}
+	place := func(id int, version string, left time.Duration) []Action {
+		r := versionRequest(id, version)
+		r.Deadline = startTime.Add(left)
+		return p.Step(startTime, GrantRequested{r})
+	}
+	g.Expect(place(1, "", time.Second)).To(ContainElement(BeAssignableToTypeOf(Refused{})))
+	g.Expect(place(2, "v1", time.Second)).To(ContainElement(BeAssignableToTypeOf(Granted{})))
+	g.Expect(place(3, "v1", time.Microsecond)).To(ContainElement(BeAssignableToTypeOf(Refused{})), "it certainly misses the deadline")
+}
--- a/pool/place.go
+++ b/pool/place.go
@@ -131,8 +131,7 @@
 			continue
 		}
 		f.runners++
-		margin := errorMarginFactor * p.runners[c.Slot].predictor.firstToken.meanAbsError
-		setMin(&f.firstToken, c.FirstToken(w.prompt)+margin)
+		setMin(&f.firstToken, c.FirstToken(w.prompt)+p.errorMargin(w, c.Slot))
 		setMin(&f.idleFirstToken, c.FixedTime+c.PrefillPerToken*float64(max(w.prompt-c.Cached, 0)))
 		setMin(&f.wait, max(c.Wait-v.PrefillWait, c.LimitWait, 0))
 		f.hasRoomNow = f.hasRoomNow || p.cfg.Policy.passes(v, c, false)
@@ -216,14 +215,23 @@
 	return false
 }
 
+// errorMargin returns the seconds that are added to the predicted time to first token on
+// a runner. Requests that continue a stream have no margin: a refusal ends the stream, since
+// its client has little time left for another attempt.
+func (p *Pool) errorMargin(w *waitingRequest, slot int) float64 {
+	if w.request.Version != "" {
+		return 0
+	}
+	return errorMarginFactor * p.runners[slot].predictor.firstToken.meanAbsError
+}
+
 // lateness returns by how many seconds the first token is predicted to miss the
 // deadline, with the error margin; it is not positive if the deadline is met.
 func (p *Pool) lateness(now time.Time, w *waitingRequest, best *plan) float64 {
 	if !p.cfg.Refusal || w.request.Deadline.IsZero() {
 		return 0
 	}
-	meanAbsError := p.runners[best.prefill.Slot].predictor.firstToken.meanAbsError
-	return best.firstToken + errorMarginFactor*meanAbsError - w.request.Deadline.Sub(now).Seconds()
+	return best.firstToken + p.errorMargin(w, best.prefill.Slot) - w.request.Deadline.Sub(now).Seconds()
 }
 
 // planWhole chooses one runner for prefill and decode.
--- a/provision/roles.go
+++ b/provision/roles.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -19,9 +20,13 @@
 	ID            string
 	Born          int64
 	FailureDomain string
-	Role          backend.Role
-	Cheap         bool
-	Leaving       bool
+	// Version is the version of the engine's software.
+	Version string
+	Role    backend.Role
+	Cheap   bool
+	Leaving bool
+	// Down is set if the engine has refused connections lately.
+	Down bool
 	// Evicted is set if the platform is evicting the engine's server.
 	Evicted bool
 }
@@ -67,6 +72,12 @@
 type Roles struct {
 	cfg       RoleConfig
 	lastOrder map[string]orderedRole
+	// decodedAt is the last time at which a version had decode engines.
+	decodedAt map[string]time.Time
+	// listed holds the start of each engine that isn't leaving, by ID, and changedAt is
+	// the last time at which it changed.
+	listed    map[string]int64
+	changedAt time.Time
 }
 
 // orderedRole is the last order to an engine and its time.
@@ -78,7 +89,7 @@
 
 // NewRoles returns a plan without orders.
 func NewRoles(cfg RoleConfig) *Roles {
-	return &Roles{cfg: cfg, lastOrder: map[string]orderedRole{}}
+	return &Roles{cfg: cfg, lastOrder: map[string]orderedRole{}, decodedAt: map[string]time.Time{}}
 }
 
 // pending returns the last order to an engine, and whether it is still being
@@ -118,27 +129,20 @@
 // Step returns the orders to send now.
 func (p *Roles) Step(now time.Time, engines []Engine) []RoleOrder {
 	p.pruneOrders(now, engines)
-	var decode, prefill []Engine
-	for _, e := range engines {
-		if e.Leaving {
-			continue
-		}
-		role := e.Role
-		if o, ok := p.pending(now, &e); ok {
-			role = o.role
-		}
-		if role == backend.RoleDecode {
-			decode = append(decode, e)
-		} else {
-			prefill = append(prefill, e)
-		}
+	settled := p.settled(now, engines)
+	groups := p.versionGroups(now, engines)
+	if len(groups) > 1 {
+		p.cfg.setTargets(groups, settled)
+		return p.orderTargets(now, groups)
 	}
-	want := p.cfg.WantDecode(len(decode) + len(prefill))
-	switch {
-	case len(decode) > want:
-		return p.orderChanges(now, decode, backend.RolePrefill, len(decode)-want)
-	case len(decode) < want:
-		return p.orderChanges(now, prefill, backend.RoleDecode, want-len(decode))
+	for _, g := range groups {
+		want := p.cfg.WantDecode(g.size())
+		switch {
+		case len(g.decode) > want:
+			return p.orderChanges(now, g.decode, backend.RolePrefill, len(g.decode)-want)
+		case len(g.decode) < want:
+			return p.orderChanges(now, g.prefill, backend.RoleDecode, want-len(g.decode))
+		}
 	}
 	return nil
 }
@@ -230,4 +234,5 @@
 			delete(p.lastOrder, id)
 		}
 	}
+	maps.DeleteFunc(p.decodedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= versionHold })
 }
