dispatch: a taken-up stream goes on where servers leave out event numbers

What callers saw: none of 24 streams whose event IDs are 3, 6, 9 went on after their daemon was killed; clients got 502 (LOST).

Cause: the first event of a continuation had to have the next number, unless an attempt of the same request had skipped one. A request that takes a stream up has seen none. IDs increase, and nothing says by one. The check was made for servers that leave out events or start anew; its tests pass unchanged.

Change: steps within attempts are remembered for each software version of a service. A step up to the largest one follows; from eight steps on, a larger one is a lost event. If nothing is known, the first event is held back until the second one shows the step of this server; a smaller step than the first means that events are missing, and the attempt fails as before.

--- a/dispatch/continuation_test.go
+++ b/dispatch/continuation_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,7 +23,7 @@
 	}
 	recorder := event.NewRecorder(hlc.New(time.Now), "test", nil, logger)
 	defer recorder.Close()
-	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Versions: (*pinsFake)(f), Usage: f, Events: recorder, Shutdown: NewShutdown()}
+	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Versions: (*pinsFake)(f), Usage: f, Events: recorder, Shutdown: NewShutdown(), Steps: f.steps}
 	r := &Request{ID: "r1", Route: &route, Service: &catalog.Service{Name: "s"}, Deadline: time.Now().Add(time.Minute), LastEvent: lastEvent, Resumes: "r0"}
 	f.beganAt = map[string]string{"r0": ""}
 	d.Serve(context.Background(), r, &f.answer)
@@ -135,6 +137,68 @@
 	})
 }
 
+// Guards against take-ups that all fail at servers whose event IDs increase by more than
+// one: a request that takes a stream up has seen no other events.
+func TestTakenUpStreamGoesOnWhereNumbersAreLeftOut(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply *fakeReply
+		// known holds steps of other streams of the version.
+		known idSteps
+		want  []string
+	}{
+		"every third":                      {reply: &fakeReply{events: events("6", "9", "12")}, want: []string{"6", "9", "12"}},
+		"larger ones follow":               {reply: &fakeReply{events: events("5", "9", "10")}, want: []string{"5", "9", "10"}},
+		"comments between":                 {reply: &fakeReply{events: []Event{{ID: "6", Data: []byte("id: 6\n\n")}, {Data: []byte(": \n\n")}, {ID: "9", Data: []byte("id: 9\n\n")}}}, want: []string{"6", "", "9"}},
+		"known step, one event":            {reply: &fakeReply{events: events("6")}, known: idSteps{count: 1, largest: 3}, want: []string{"6"}},
+		"several left out":                 {reply: &fakeReply{events: events("6", "7", "8")}},
+		"more left out than usual":         {reply: &fakeReply{events: events("9", "12", "15")}},
+		"more than ever, many known":       {reply: &fakeReply{events: events("9", "15", "21")}, known: idSteps{count: enoughSteps, largest: 3}},
+		"none left out elsewhere":          {reply: &fakeReply{events: events("6", "9", "12")}, known: idSteps{count: enoughSteps, largest: 1}},
+		"one event that explains nothing":  {reply: &fakeReply{events: events("6")}},
+		"breaks before it is clear":        {reply: &fakeReply{events: events("6"), err: broken}},
+		"an event without a number behind": {reply: &fakeReply{events: append(events("6"), unnumbered)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			test.reply.status = 200
+			f := &fakes{servers: servers("a"), budget: 5, runs: []any{test.reply}, steps: NewEventSteps()}
+			f.steps.learn("s", "", test.known)
+			f.takeUp(draft, "3")
+			var got []string
+			for _, data := range f.answer.events {
+				id, _ := strings.CutPrefix(strings.TrimSpace(data), "id: ")
+				got = append(got, strings.TrimPrefix(id, ":"))
+			}
+			g.Expect(got).To(Equal(test.want))
+			g.Expect(f.answer.finished).To(Equal(test.want != nil))
+		})
+	}
+}
+
+// Guards against a stream of which only one event arrived before it broke, and that can't
+// go on in the same answer where numbers are left out.
+func TestStreamGoesOnAfterItsFirstEventWhereNumbersAreLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakes{servers: servers("a", "b"), budget: 5,
+		runs: []any{&fakeReply{status: 200, events: events("3"), err: broken}, &fakeReply{status: 200, events: events("6", "9")}}}
+	f.serve(draft)
+	g.Expect(f.answer.events).To(Equal([]string{"id: 3\n\n", "id: 6\n\n", "id: 9\n\n"}))
+	g.Expect(f.answer.finished).To(BeTrue())
+}
+
+// Guards against steps that are not remembered for the version, or are for another one.
+func TestStepsAreRememberedByVersion(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakes{servers: servers("a"), runs: []any{&fakeReply{status: 200, events: events("3", "6", "8")}}, steps: NewEventSteps()}
+	f.serve(draft)
+	g.Expect(f.steps.of("s", "")).To(Equal(idSteps{count: 2, largest: 3}))
+	g.Expect(f.steps.of("s", "v2").count).To(BeZero())
+	for i := range 2 * maxStepVersions {
+		f.steps.learn("s", strconv.Itoa(i), idSteps{count: 1, largest: 1})
+	}
+	g.Expect(len(f.steps.versions)).To(BeNumerically("<=", maxStepVersions))
+}
+
 // Guards against a stream that fails since its client named an event on a route whose
 // streams can't be continued.
 func TestLastEventOfOtherRoutesIsNoDemand(t *testing.T) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	Usage      UsageCounter
 	Events     *event.Recorder
 	Shutdown   *Shutdown
+	Steps      *EventSteps
 }
 
 // Serve runs attempts of a request until the client is answered or the request
@@ -55,6 +56,7 @@
 		c.fail(failure)
 		return
 	}
+	defer func() { c.Steps.learn(c.request.Service.Name, c.binding.version, c.sequence.steps) }()
 	for {
 		switch out := c.attempt(ctx); {
 		case out.answered:
@@ -294,7 +296,7 @@
 // run sends the request to the placement's servers and relays the answer.
 func (c *call) run(ctx context.Context, place *Placement) *AttemptError {
 	c.attemptBegan = time.Time{}
-	c.sequence.delivered = false
+	c.sequence.begin(c.Steps.of(c.request.Service.Name, place.Server.SoftwareVersion))
 	if failed := c.quarantined(); failed != nil {
 		return failed
 	}
@@ -400,29 +402,45 @@
 			return replyError(err)
 		}
 		c.markBegun(place)
-		if !c.sequence.accept(c.lastEventID, ev) {
-			return &AttemptError{Run: backend.RunUnknown, Reason: "not_resumed", Sent: true, Err: eris.Errorf("event %q does not follow event %q", ev.ID, c.lastEventID)}
+		events, ok := c.sequence.accept(c.lastEventID, ev)
+		if !ok {
+			return notResumed(ev.ID, c.lastEventID)
 		}
-		if c.attemptBegan.IsZero() {
-			c.attemptBegan = time.Now()
-		}
-		if !c.started {
-			c.started = true
-			c.markFirstByte()
-			c.bindVersion(place)
-			c.countTakeUp(takeUpWentOn)
-			if err := c.answer.Start(reply.Status(), reply.Header()); err != nil {
-				return clientWriteError(err)
+		for _, ev := range events {
+			if err := c.passOn(place, reply, ev); err != nil {
+				return err
 			}
 		}
-		if err := c.answer.Event(ev.Data); err != nil {
+	}
+}
+
+// notResumed is the error of a continuation that leaves out events or starts anew.
+func notResumed(id, last string) *AttemptError {
+	return &AttemptError{Run: backend.RunUnknown, Reason: "not_resumed", Sent: true, Err: eris.Errorf("event %q does not follow event %q", id, last)}
+}
+
+// passOn passes an event on to the client, and starts its answer before the first one.
+func (c *call) passOn(place *Placement, reply Reply, ev Event) *AttemptError {
+	if c.attemptBegan.IsZero() {
+		c.attemptBegan = time.Now()
+	}
+	if !c.started {
+		c.started = true
+		c.markFirstByte()
+		c.bindVersion(place)
+		c.countTakeUp(takeUpWentOn)
+		if err := c.answer.Start(reply.Status(), reply.Header()); err != nil {
 			return clientWriteError(err)
 		}
-		c.times.event(time.Now())
-		if ev.ID != "" {
-			c.lastEventID = ev.ID
-		}
 	}
+	if err := c.answer.Event(ev.Data); err != nil {
+		return clientWriteError(err)
+	}
+	c.times.event(time.Now())
+	if ev.ID != "" {
+		c.lastEventID = ev.ID
+	}
+	return nil
 }
 
 // markBegun records, once per request, that a backend server began to answer.
@@ -438,6 +456,9 @@
 // finishStream completes a stream. An attempt without events is a failure, also for a
 // stream that was begun: nothing shows that its last event has been sent.
 func (c *call) finishStream(place *Placement, status int) *AttemptError {
+	if c.sequence.undecided() {
+		return notResumed(c.sequence.held[0].ID, c.lastEventID)
+	}
 	if !c.sequence.delivered {
 		return &AttemptError{Run: backend.RunUnknown, Reason: "empty_stream", Sent: true, Lost: true}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -28,6 +28,7 @@
 	// prefills and runs are the outcomes of the calls in order.
 	prefills []*AttemptError
 	runs     []any // *AttemptError or *fakeReply
+	steps    *EventSteps
 	unusable map[string]bool
 	budget   int
 
@@ -234,7 +235,7 @@
 	}
 	events := event.NewRecorder(hlc.New(time.Now), "test", nil, logger)
 	defer events.Close()
-	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Versions: (*pinsFake)(f), Usage: f, Events: events, Shutdown: NewShutdown()}
+	d := &Dispatcher{Scheduler: f, Backends: f, Budget: f, Quarantine: (*guardFake)(f), Versions: (*pinsFake)(f), Usage: f, Events: events, Shutdown: NewShutdown(), Steps: f.steps}
 	r := &Request{
 		ID: "r1", Customer: "acme", Route: &route, Service: &catalog.Service{Name: "s"},
 		Prompt: prompt, Deadline: time.Now().Add(time.Minute),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -163,6 +163,7 @@
 		Usage:      d,
 		Events:     cfg.Events,
 		Shutdown:   dispatch.NewShutdown(),
+		Steps:      dispatch.NewEventSteps(),
 	}
 	d.ingress = d.newIngress()
 	d.control.setIngress = d.ingress.SetLimits
