reach: a daemon shows that it reaches servers before it blames one or its own paths

Cause: two connections that failed since the last one was opened counted as a cut of the daemon.

Change: after a failed connection the daemon opens one to other servers over its own path, unless it has opened one since the failure began. Relays do the same before they say that they reach servers. All relays that may be asked are asked before a server is taken for down, since daemons that are cut from some servers only are cut from different ones.

Why it works: a connection opened after the failure can't come from a daemon that is cut, and one that is not cut can open one however many servers have ended.

TestServerIsDownOnlyIfAWitnessSaysSo and TestCutDaemonAsksASecondRelay say for each server whether its path works, where they wrote the former sign into the table; their expectations are unchanged.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -239,6 +239,7 @@
 			}
 		},
 		OnHealed: func(addr string) { d.Connections.RetireRelayed(addr, "") },
+		Servers:  func(n int) []string { return d.control.servers.Load().sample(n) },
 		Events:   d.Events,
 	}
 }
@@ -352,10 +353,12 @@
 		relayedRefused.Inc()
 		return &RelayReply{Error: err.Error()}, nil, true
 	}
+	began := time.Now()
 	conn, err := d.dialForOther(ctx, request.Addr)
 	if err != nil {
 		relayedRefused.Inc()
-		return &RelayReply{Refused: errors.Is(err, syscall.ECONNREFUSED), Reaches: d.dialer.Table.Reaches(), Error: err.Error()}, nil, true
+		reaches := d.dialer.Reaches(ctx, request.Addr, began)
+		return &RelayReply{Refused: errors.Is(err, syscall.ECONNREFUSED), Reaches: reaches, Error: err.Error()}, nil, true
 	}
 	relayedTotal.Inc()
 	d.relaying.Add(1)
--- a/edge/server_view.go
+++ b/edge/server_view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,21 @@
 	return v.addrs()[addr]
 }
 
+// sample returns the addresses of up to n servers, chosen at random.
+func (v *serverView) sample(n int) []string {
+	var out []string
+	first := rand.IntN(serverViewParts)
+	for i := range v.parts {
+		for _, s := range v.parts[(first+i)%serverViewParts] {
+			if len(out) == n {
+				return out
+			}
+			out = append(out, s.Addr)
+		}
+	}
+	return out
+}
+
 func (v *serverView) byAddr() map[string]*registry.Server {
 	out := make(map[string]*registry.Server, v.count)
 	for _, part := range v.parts {
--- a/reach/dialer.go
+++ b/reach/dialer.go
@@ -73,21 +73,27 @@
 	// is called when the path works again.
 	OnBroken func(addr string, silent bool, since time.Time)
 	OnHealed func(addr string)
-	Events   *event.Recorder
+	// Servers returns up to n addresses of listed servers; nil if none are listed.
+	Servers func(n int) []string
+	Events  *event.Recorder
+
+	prover prover
 }
 
-// result is the result of one way to open a connection.
+// result is the result of one way to open a connection, or of the proof that this daemon
+// reaches other servers.
 type result struct {
 	conn  net.Conn
 	err   error
 	relay *Relay
+	proof *proof
 }
 
 // Dial opens a connection to a server over the way that is first. It fails with a
 // *backend.PathError unless the failure shows that the server is down.
 func (d *Dialer) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	o := &opening{Dialer: d, network: network, addr: addr, began: time.Now(), results: make(chan result, MaxRelays+1)}
+	o := &opening{Dialer: d, network: network, addr: addr, began: time.Now(), results: make(chan result, MaxRelays+2)}
 	// The ways that lost go on for a while: their results tell whether the path is broken.
 	o.ctx, o.cancel = context.WithTimeout(context.WithoutCancel(ctx), openTimeout)
 	defer cancel()
@@ -110,11 +116,17 @@
 	relays []Relay
 	listed bool
 	asked  int
+	// next fires when one more relay is to be asked, since the last one has not answered.
+	next *time.Timer
 	// pending is the number of ways whose result is due.
 	pending int
 	// direct and relayed hold the errors of the ways that failed.
 	direct  error
 	relayed []error
+	// reaches is the proof that is sought once the own path has failed, and proving is set
+	// until it is known.
+	reaches proof
+	proving bool
 	// directPending is set while the own path has not answered, and relayWon once a relay
 	// has opened the connection.
 	triedDirect, directPending, relayWon bool
@@ -125,14 +137,13 @@
 	if !o.way.Direct && len(o.relayList()) == 0 {
 		return nil, o.failure()
 	}
-	next := time.NewTimer(max(relayAfter, relayFactor*o.way.Usual))
-	defer next.Stop()
+	o.next = time.NewTimer(max(relayAfter, relayFactor*o.way.Usual))
+	defer o.next.Stop()
 	if o.way.Direct {
 		o.tryDirect()
 	}
 	if o.way.Relay {
 		o.askNext()
-		next.Reset(nextAfter)
 	}
 	for {
 		select {
@@ -140,15 +151,16 @@
 			if conn := o.take(r); conn != nil {
 				return conn, nil
 			}
-			if r.relay != nil && !o.witnessed() && o.askNext() {
+			if r.relay != nil && o.askNext() || o.pending > 0 || o.askNext() || o.tryDirect() {
 				continue
 			}
-			if o.pending == 0 && (o.witnessed() || !o.askNext() && !o.tryDirect()) {
+			if !o.proving {
+				return nil, o.failure()
+			}
+		case <-o.next.C:
+			if !o.askNext() && o.witnessed() {
 				return nil, o.failure()
 			}
-		case <-next.C:
-			o.askNext()
-			next.Reset(nextAfter)
 		case <-ctx.Done():
 			return nil, o.failure()
 		}
@@ -165,6 +177,7 @@
 // askNext asks one more relay. It returns false if there is none.
 func (o *opening) askNext() bool {
 	list := o.relayList()
+	o.next.Reset(nextAfter)
 	if o.asked >= min(len(list), MaxRelays) {
 		return false
 	}
@@ -199,19 +212,23 @@
 
 // take records a result and returns the connection if it was opened.
 func (o *opening) take(r result) net.Conn {
+	if r.proof != nil {
+		o.proving, o.reaches = false, *r.proof
+		return nil
+	}
 	o.pending--
 	now := time.Now()
 	switch {
 	case r.relay == nil && r.err == nil:
 		o.directPending = false
 		openedDirect.Inc()
-		if o.Table.Opened(now, o.addr, now.Sub(o.began)) {
-			o.Events.Record(event.KindConfig, "path_healed", o.addr)
-			o.OnHealed(o.addr)
-		}
+		o.opened(o.addr, now.Sub(o.began))
 	case r.relay == nil:
 		o.directPending, o.direct = false, r.err
 		o.Table.Failed(now, o.addr)
+		if !o.relayWon {
+			o.seekProof()
+		}
 	case r.err == nil:
 		openedRelay.Inc()
 		o.relayWon = true
@@ -224,6 +241,15 @@
 	return r.conn
 }
 
+// seekProof finds out whether this daemon reaches other servers.
+func (o *opening) seekProof() {
+	o.proving = true
+	go func() {
+		found := o.prove(o.ctx, o.addr, o.began)
+		o.results <- result{proof: &found}
+	}()
+}
+
 // broken records that the own path is broken while the server takes connections.
 func (o *opening) broken(now time.Time, silent bool, cause string) {
 	news := o.Table.Broken(now, o.addr)
@@ -270,23 +296,26 @@
 	return n, answered
 }
 
-// self reports whether this daemon can't open a connection although it reaches others.
-func (o *opening) self() bool { return o.direct != nil && o.Table.Reaches() }
+// self reports whether this daemon can't open a connection although it reaches others, as
+// far as it knows.
+func (o *opening) self() bool {
+	return o.direct != nil && (o.reaches == proofReaches || o.reaches == proofNone && o.Table.Reaches())
+}
 
-// witnessed reports whether no other daemon need be asked, since two say that the server is
-// at fault. One that has just been cut still believes that it reaches others.
+// witnessed reports whether relays that have not answered need not be waited for, since two
+// daemons say that the server is at fault.
 func (o *opening) witnessed() bool {
 	n, _ := o.witnesses()
-	return n > 1 || n == 1 && o.self()
+	return !o.directPending && !o.proving && (n > 1 || n == 1 && o.self())
 }
 
 // serverAtFault reports, after all ways have failed, whether the server is at fault: a
-// relay says so, or none has answered and this daemon reaches others, or there is nobody to
-// ask.
+// relay says so, this daemon has just reached another server, or none has answered and this
+// daemon reaches others as far as it knows, or there is nobody to ask.
 func (o *opening) serverAtFault() bool {
 	n, answered := o.witnesses()
 	if answered {
-		return n > 0
+		return n > 0 || o.reaches == proofReaches
 	}
 	return o.self() || o.direct != nil && o.Alone() && !o.Table.Cut()
 }
--- a/reach/dialer_test.go
+++ b/reach/dialer_test.go
@@ -24,9 +24,10 @@
 // world is a dialer whose paths the test controls.
 type world struct {
 	*Dialer
-	// direct and relay are the errors of the own path and of each relay. errSilent never
-	// answers.
+	// direct and relay are the errors of the own path and of each relay, and others those
+	// of the own paths to other servers. errSilent never answers.
 	direct error
+	others map[string]error
 	relay  map[string]error
 	opens  atomic.Int32
 
@@ -44,7 +45,7 @@
 func newWorld(t *testing.T, relays ...string) *world {
 	events := event.NewRecorder(hlc.New(time.Now), "vm-0", nil, zerolog.Nop())
 	t.Cleanup(events.Close)
-	w := &world{relay: map[string]error{}}
+	w := &world{relay: map[string]error{}, others: map[string]error{}}
 	answer := func(ctx context.Context, err error, way string) (net.Conn, error) {
 		if errors.Is(err, errSilent) {
 			<-ctx.Done()
@@ -58,8 +59,13 @@
 		return &namedConn{near, way}, nil
 	}
 	w.Dialer = &Dialer{
-		Table:  NewTable(),
-		Direct: func(ctx context.Context, _, _ string) (net.Conn, error) { return answer(ctx, w.direct, "direct") },
+		Table: NewTable(),
+		Direct: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			if addr == "server" {
+				return answer(ctx, w.direct, "direct")
+			}
+			return answer(ctx, w.others[addr], addr)
+		},
 		Relays: func(string) (out []Relay) {
 			for _, vm := range relays {
 				out = append(out, Relay{VM: vm})
@@ -146,10 +152,11 @@
 	w.relay["vm-1"] = errors.New("can't be reached")
 	for _, server := range []string{"a", "b"} {
 		w.Table.Failed(time.Now(), server)
+		w.others[server] = refused
 	}
 	_, _, err = w.dial(t)
 	g.Expect(isPathError(err)).To(BeTrue(), "nobody answers, and this daemon reaches no server")
-	w.Table.Opened(time.Now(), "a", 0)
+	w.others["a"] = nil
 	_, _, err = w.dial(t)
 	g.Expect(isPathError(err)).To(BeFalse(), "nobody answers, but this daemon reaches another server")
 
@@ -209,9 +216,39 @@
 	w := newWorld(t, "vm-1", "vm-2")
 	for _, server := range []string{"a", "b"} {
 		w.Table.Failed(time.Now(), server)
+		w.others[server] = refused
 	}
 	w.direct, w.relay["vm-1"] = refused, &RelayError{Refused: true, Reaches: true, Text: "refused"}
 	way, _, err := w.dial(t)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(way).To(Equal("vm-2"))
 }
+
+// Guards against daemons that are cut from some servers only and take these from all
+// daemons.
+func TestServerIsUpIfOneOfThreeRelaysReachesIt(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, "vm-1", "vm-2", "vm-3")
+	w.Table.Opened(time.Now(), "other", 0)
+	w.direct = refused
+	w.relay["vm-1"] = &RelayError{Refused: true, Reaches: true, Text: "refused"}
+	w.relay["vm-2"] = w.relay["vm-1"]
+	way, _, err := w.dial(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(way).To(Equal("vm-3"))
+}
+
+// Guards against requests that wait for a relay that stands still, although two daemons say
+// that the server is down.
+func TestSilentRelayDoesNotDelayTheVerdict(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, "vm-1", "vm-2", "vm-3")
+	w.Table.Opened(time.Now(), "other", 0)
+	w.direct, w.relay["vm-3"] = refused, errSilent
+	w.relay["vm-1"] = &RelayError{Refused: true, Reaches: true, Text: "refused"}
+	w.relay["vm-2"] = w.relay["vm-1"]
+	_, took, err := w.dial(t)
+	g.Expect(isPathError(err)).To(BeFalse())
+	g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(BeTrue())
+	g.Expect(took).To(BeNumerically("<", relayAfter+2*nextAfter))
+}
--- a/reach/table.go
+++ b/reach/table.go
@@ -9,6 +9,7 @@
 package reach
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -146,6 +147,38 @@
 	return failed < minCut
 }
 
+// OpenedSince reports whether a connection was opened over an own path since a time.
+func (t *Table) OpenedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.opened.After(at)
+}
+
+// candidates returns the servers that may show whether this daemon reaches any: those
+// listed and those used lately, without one. Servers whose last attempt failed come last.
+func (t *Table) candidates(listed []string, without string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var working, unknown, failed []string
+	seen := map[string]bool{without: true}
+	for addr, p := range t.servers {
+		switch {
+		case addr == without:
+		case p.failed.IsZero():
+			working = append(working, addr)
+		default:
+			failed = append(failed, addr)
+		}
+		seen[addr] = true
+	}
+	for _, addr := range listed {
+		if !seen[addr] {
+			unknown = append(unknown, addr)
+		}
+	}
+	return slices.Concat(working, unknown, failed)
+}
+
 // Counts returns the numbers of servers that were used lately and of those whose own path
 // is broken.
 func (t *Table) Counts() (servers, broken int) {
