pool: a taken-up stream waits for an engine that is about to decode

Cause: an engine that changes its role counted as none, and clients take a stream up once, so that the refusal ended it.

Change: role changes are passed to the scheduler with the time at which they are expected to end, which is taken from the last change. A request that requires a version waits for such an engine if its deadline is later, and is refused as before otherwise, or once the change is given up. Entry daemons prefer a pool that has a decode engine of the version already.

The signature in TestIncrementalViewsEqualFullOnes changes, its checks don't.

--- a/edge/control.go
+++ b/edge/control.go
@@ -110,6 +110,8 @@
 	pools *poolTable
 	// roleChanges holds the engines that change their role, by server ID.
 	roleChanges map[string]roleChange
+	// roleChangeTime is how long the last change of role took.
+	roleChangeTime time.Duration
 	// rolesChanged is set if roleChanges has changed since the last publish.
 	rolesChanged bool
 	live         *member.Set
@@ -442,7 +444,7 @@
 		c.servers.Store(c.servers.Load().with(changes))
 		c.publishServing(now)
 	}
-	if c.pools.update(c.catalog.Load(), c.servers.Load(), c.rolesChanged, c.isChangingRole) {
+	if c.pools.update(c.catalog.Load(), c.servers.Load(), c.rolesChanged, c.pendingRole) {
 		c.host.Update(now, c.pools.specs, func(pool.Key) bool { return true })
 	}
 	c.rolesChanged = false
@@ -455,6 +457,7 @@
 			shard:     spec.Key.Shard,
 			shards:    spec.Shards,
 			versions:  c.pools.versions[i],
+			expected:  c.pools.expected[i],
 		})
 	}
 	changed := schedulersDiffer(c.view.Load(), next)
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -354,20 +355,24 @@
 
 // roleChange is a role change that is in progress. born is the engine's
 // registry.Server.StartedMs, which identifies its process, role is the new role,
-// and until is the time at which the entry expires.
+// began is the time of the first announcement, and until is the time at which the entry
+// expires.
 type roleChange struct {
-	born  int64
-	role  backend.Role
-	until time.Time
+	born         int64
+	role         backend.Role
+	began, until time.Time
 }
 
 // addRoleChanges records the role changes that the lease holder has announced.
 func (c *control) addRoleChanges(now time.Time, m *RolesChanging) {
 	for _, e := range m.Engines {
-		if old, ok := c.roleChanges[e.ID]; !ok || old.born != e.Born || old.role != e.Role {
+		change, ok := c.roleChanges[e.ID]
+		if !ok || change.born != e.Born || change.role != e.Role {
+			change = roleChange{born: e.Born, role: e.Role, began: now}
 			c.rolesChanged, c.dirty = true, true
 		}
-		c.roleChanges[e.ID] = roleChange{born: e.Born, role: e.Role, until: now.Add(fleetInterval + roleChangeNotice + roleChangeLag)}
+		change.until = now.Add(fleetInterval + roleChangeNotice + roleChangeLag)
+		c.roleChanges[e.ID] = change
 	}
 }
 
@@ -377,6 +382,9 @@
 	dropped := false
 	for id, e := range c.roleChanges {
 		server := c.servers.Load().server(id)
+		if server != nil && server.StartedMs == e.born && server.Role == e.role {
+			c.roleChangeTime = max(now.Sub(e.began), roleChangeNotice)
+		}
 		if now.After(e.until) || server == nil || server.StartedMs != e.born || server.Role == e.role {
 			delete(c.roleChanges, id)
 			dropped = true
@@ -385,7 +393,15 @@
 	return dropped
 }
 
-func (c *control) isChangingRole(s *registry.Server) bool {
+// pendingRole returns the change of role of a server.
+func (c *control) pendingRole(s *registry.Server) pendingRole {
 	e, ok := c.roleChanges[s.ID]
-	return ok && e.born == s.StartedMs && e.role != s.Role
+	if !ok || e.born != s.StartedMs || e.role == s.Role {
+		return pendingRole{}
+	}
+	out := pendingRole{changing: true}
+	if e.role == backend.RoleDecode {
+		out.decodesAt = e.began.Add(cmp.Or(c.roleChangeTime, roleChangeNotice+roleChangeLag))
+	}
+	return out
 }
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -195,18 +195,27 @@
 }
 
 // routeOfVersion returns the pool of a request among those that have a server of its
-// version.
+// version, or will have one.
 func routeOfVersion(routes []poolRoute, request *pool.Request) (poolRoute, bool) {
+	if r, ok := routeAmong(routes, request, func(r *poolRoute) []string { return r.versions[request.Version] }); ok {
+		return r, true
+	}
+	return routeAmong(routes, request, func(r *poolRoute) []string { return r.expected[request.Version] })
+}
+
+// routeAmong returns the pool of a request among those that have a server to use.
+func routeAmong(routes []poolRoute, request *pool.Request, servers func(*poolRoute) []string) (poolRoute, bool) {
 	var having []poolRoute
 	home := pool.ShardFor(request, routes[0].shards)
-	for _, r := range routes {
-		if !slices.ContainsFunc(r.versions[request.Version], func(id string) bool { return !slices.Contains(request.Avoid, id) }) {
+	for i := range routes {
+		r := &routes[i]
+		if !slices.ContainsFunc(servers(r), func(id string) bool { return !slices.Contains(request.Avoid, id) }) {
 			continue
 		}
 		if r.shard == home {
-			return r, true
+			return *r, true
 		}
-		having = append(having, r)
+		having = append(having, *r)
 	}
 	if len(having) == 0 {
 		return poolRoute{}, false
--- a/edge/pools.go
+++ b/edge/pools.go
@@ -25,6 +25,8 @@
 	shards    int
 	// versions holds the IDs of the servers that can take streams, by software version.
 	versions map[string][]string
+	// expected holds the IDs of those that change their role and will take streams.
+	expected map[string][]string
 }
 
 const (
@@ -88,10 +90,11 @@
 	catalog    *catalog.Catalog
 	view       *serverView
 	services   map[string]*servicePools
-	// specs are the pools of all services that have engines. versions holds the IDs of
-	// the engines of each pool that can take streams, by software version.
-	specs    []schedule.PoolSpec
-	versions []map[string][]string
+	// specs are the pools of all services that have engines. versions and expected hold
+	// the IDs of the engines of each pool that can take streams, and of those that will
+	// once they have changed their role, by software version.
+	specs              []schedule.PoolSpec
+	versions, expected []map[string][]string
 }
 
 // servicePools are the pools of one service.
@@ -102,14 +105,21 @@
 	pools    []engines
 }
 
-// engines are the engines of one pool. changing tells which of them change their
-// role.
+// engines are the engines of one pool. changes holds their changes of role.
 type engines struct {
-	spec     schedule.PoolSpec
-	servers  []*registry.Server
-	changing []bool
-	// versions holds the IDs of those that can take streams, by software version.
-	versions map[string][]string
+	spec    schedule.PoolSpec
+	servers []*registry.Server
+	changes []pendingRole
+	// versions and expected are as in poolTable.
+	versions, expected map[string][]string
+}
+
+// pendingRole is the change of role of an engine; zero if it keeps its role.
+type pendingRole struct {
+	changing bool
+	// decodesAt is the time at which it is expected to be a decode engine; zero if it
+	// becomes another one.
+	decodesAt time.Time
 }
 
 func newPoolTable() *poolTable {
@@ -117,15 +127,15 @@
 }
 
 // update brings the pools up to date and reports whether any may have changed.
-// rolesChanged is set if the results of isChanging may have changed.
-func (t *poolTable) update(cat *catalog.Catalog, view *serverView, rolesChanged bool, isChanging func(*registry.Server) bool) bool {
+// rolesChanged is set if the results of pending may have changed.
+func (t *poolTable) update(cat *catalog.Catalog, view *serverView, rolesChanged bool, pending func(*registry.Server) pendingRole) bool {
 	if cat == nil || cat == t.catalog && view == t.view && !rolesChanged {
 		return false
 	}
 	if cat != t.catalog {
 		clear(t.services)
 	}
-	t.catalog, t.view, t.specs, t.versions = cat, view, nil, nil
+	t.catalog, t.view, t.specs, t.versions, t.expected = cat, view, nil, nil, nil
 	for _, name := range slices.Sorted(maps.Keys(view.services)) {
 		service := cat.Service(name)
 		if service == nil || service.Engine == nil {
@@ -136,16 +146,17 @@
 			p = &servicePools{config: poolConfig(service.Engine, t.scheduling), memory: service.Engine.KVTokens}
 			t.services[name] = p
 		}
-		p.update(service, view.ofService(name), isChanging)
+		p.update(service, view.ofService(name), pending)
 		for i := range p.pools {
 			t.specs = append(t.specs, p.pools[i].spec)
 			t.versions = append(t.versions, p.pools[i].versions)
+			t.expected = append(t.expected, p.pools[i].expected)
 		}
 	}
 	return true
 }
 
-func (p *servicePools) update(service *catalog.Service, listed []*registry.Server, isChanging func(*registry.Server) bool) {
+func (p *servicePools) update(service *catalog.Service, listed []*registry.Server, pending func(*registry.Server) pendingRole) {
 	byID := make(map[string]*registry.Server, len(listed))
 	ids := make([]string, len(listed))
 	for i, s := range listed {
@@ -162,26 +173,26 @@
 		e := &p.pools[i]
 		e.spec.Shards = len(shards)
 		// A new pool has no runner list yet.
-		e.spec.Unchanged = e.set(shard, byID, isChanging) && e.spec.Runners != nil
+		e.spec.Unchanged = e.set(shard, byID, pending) && e.spec.Runners != nil
 		if !e.spec.Unchanged {
 			e.spec.Runners = e.runners(p.memory)
-			e.versions = e.streamVersions()
+			e.versions, e.expected = e.streamVersions()
 		}
 	}
 }
 
 // set replaces the engines of the pool. It reports whether they are the same as
 // before.
-func (e *engines) set(ids []string, byID map[string]*registry.Server, isChanging func(*registry.Server) bool) bool {
+func (e *engines) set(ids []string, byID map[string]*registry.Server, pending func(*registry.Server) pendingRole) bool {
 	same := len(ids) == len(e.servers)
-	servers, changing := make([]*registry.Server, len(ids)), make([]bool, len(ids))
+	servers, changes := make([]*registry.Server, len(ids)), make([]pendingRole, len(ids))
 	for i, id := range ids {
 		servers[i] = byID[id]
-		changing[i] = isChanging(servers[i])
-		same = same && servers[i] == e.servers[i] && changing[i] == e.changing[i]
+		changes[i] = pending(servers[i])
+		same = same && servers[i] == e.servers[i] && changes[i] == e.changes[i]
 	}
 	if !same {
-		e.servers, e.changing = servers, changing
+		e.servers, e.changes = servers, changes
 	}
 	return same
 }
@@ -190,19 +201,23 @@
 	out := make([]pool.RunnerInfo, len(e.servers))
 	for i, s := range e.servers {
 		out[i] = runnerInfo(s, memory)
-		out[i].Changing = e.changing[i]
+		out[i].Changing, out[i].DecodesAt = e.changes[i].changing, e.changes[i].decodesAt
 	}
 	return out
 }
 
-func (e *engines) streamVersions() map[string][]string {
-	out := map[string][]string{}
+func (e *engines) streamVersions() (now, expected map[string][]string) {
+	now, expected = map[string][]string{}, map[string][]string{}
 	for i, s := range e.servers {
-		if !s.Draining && !e.changing[i] && s.Role != backend.RolePrefill {
-			out[s.SoftwareVersion] = append(out[s.SoftwareVersion], s.ID)
+		switch {
+		case s.Draining:
+		case !e.changes[i].changing && s.Role != backend.RolePrefill:
+			now[s.SoftwareVersion] = append(now[s.SoftwareVersion], s.ID)
+		case !e.changes[i].decodesAt.IsZero():
+			expected[s.SoftwareVersion] = append(expected[s.SoftwareVersion], s.ID)
 		}
 	}
-	return out
+	return now, expected
 }
 
 func runnerInfo(s *registry.Server, memory int) pool.RunnerInfo {
--- a/edge/server_view_test.go
+++ b/edge/server_view_test.go
@@ -25,7 +25,7 @@
 		current := map[string]registry.Server{}
 		list := registry.NewServerList(func(id string, _ []byte) (registry.Server, error) { return current[id], nil })
 		view, table, changing := (&serverView{}).with(nil), newPoolTable(), map[string]bool{}
-		isChanging := func(s *registry.Server) bool { return changing[s.ID] }
+		isChanging := func(s *registry.Server) pendingRole { return pendingRole{changing: changing[s.ID]} }
 		newCatalog := func() *catalog.Catalog {
 			scaling := &catalog.Scaling{Max: rapid.SampledFrom([]int{1, 40, 70}).Draw(t, "max"), DomainPrices: map[string]float64{"a": 1}}
 			return catalog.New(catalog.Config{Services: []catalog.Service{
--- a/pool/admit.go
+++ b/pool/admit.go
@@ -145,10 +145,16 @@
 func (p *Pool) refusalReason(now time.Time, c *customer, w *waitingRequest) (Reason, time.Duration) {
 	fit := p.fit(now, w)
 	if fit.runners == 0 {
-		if fit.tooSmall {
+		switch {
+		case fit.tooSmall:
 			return ReasonImpossible, 0
+		case !p.runnerExpected(now, &w.request):
+			return ReasonNoRunner, p.noRunnerRetry(&w.request)
+		case p.queueFull(c, w, 1):
+			return ReasonOverloaded, p.noRunnerRetry(&w.request)
 		}
-		return ReasonNoRunner, p.noRunnerRetry(&w.request)
+		w.setUrgency(now, 0)
+		return "", 0
 	}
 	w.setUrgency(now, fit.idleFirstToken)
 	wait := p.queueWait(now, c, w, fit.runners)
@@ -350,7 +356,7 @@
 // refuseWithoutVersion refuses waiting requests whose version no runner has any longer.
 func (p *Pool) refuseWithoutVersion(now time.Time) {
 	p.queue.removeIf(func(w *waitingRequest) bool {
-		if w.request.Version == "" || p.anyRunnerOfVersion(now, &w.request) {
+		if w.request.Version == "" || p.anyRunnerOfVersion(now, &w.request) || p.runnerExpected(now, &w.request) {
 			return false
 		}
 		p.refuse(w, ReasonNoRunner, p.noRunnerRetry(&w.request))
@@ -366,6 +372,17 @@
 	})
 }
 
+// runnerExpected reports whether a runner of a required version changes its role and is
+// expected to take the request before its deadline. A client that takes up a stream seldom
+// comes back after a refusal.
+func (p *Pool) runnerExpected(now time.Time, req *Request) bool {
+	return req.Version != "" && p.cfg.DecodePrefills && slices.ContainsFunc(p.runners[:], func(r *runner) bool {
+		return r != nil && r.info.Version == req.Version && r.info.Changing && !r.info.DecodesAt.IsZero() &&
+			(req.Deadline.IsZero() || r.info.DecodesAt.Before(req.Deadline)) && r.up(now, &p.cfg) &&
+			r.info.State == hosting.ServerLive && !slices.Contains(req.Avoid, r.info.ID)
+	})
+}
+
 // noRunnerRetry returns the Retry-After value of a request that no runner can take. A
 // runner of a required version is not replaced, but one that is down may come back.
 func (p *Pool) noRunnerRetry(req *Request) time.Duration {
--- a/pool/event.go
+++ b/pool/event.go
@@ -82,6 +82,9 @@
 	State   hosting.ServerState
 	// Changing is set while a runner changes its role or model, or is drained.
 	Changing bool
+	// DecodesAt is the time at which a runner that changes its role is expected to take
+	// decodes; zero if it will not.
+	DecodesAt time.Time
 	// LeaveAt is the time at which a leaving runner stops; zero if unknown.
 	LeaveAt time.Time
 	// KVTotal is the KV memory in tokens; 0 if it is known from load reports only.
--- a/pool/filter_version_test.go
+++ b/pool/filter_version_test.go
@@ -158,3 +158,51 @@
 	g.Expect(place(2, "v1", time.Second)).To(ContainElement(BeAssignableToTypeOf(Granted{})))
 	g.Expect(place(3, "v1", time.Microsecond)).To(ContainElement(BeAssignableToTypeOf(Refused{})), "it certainly misses the deadline")
 }
+
+// Guards against streams that end because the only decode runner of their version has
+// crashed, while another runner of the version is about to become one.
+func TestStreamWaitsForARunnerThatBecomesADecodeRunner(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.DecodePrefills = true
+	changing := func() (*Pool, []RunnerInfo) {
+		p, list := versionPool(cfg, backend.RoleDecode, "v1", "v2")
+		list[1].Role, list[1].Changing, list[1].DecodesAt = backend.RolePrefill, true, startTime.Add(time.Second)
+		p.Step(startTime, RunnersListed{list})
+		return p, list
+	}
+	request := func(left time.Duration) GrantRequested {
+		r := versionRequest(1, "v2")
+		r.Deadline = startTime.Add(left)
+		return GrantRequested{r}
+	}
+	noRunner := HaveExactElements(HaveField("Reason", ReasonNoRunner))
+
+	t.Run("it becomes one", func(t *testing.T) {
+		g := NewWithT(t)
+		p, list := changing()
+		g.Expect(p.Step(startTime, request(3*time.Second))).To(BeEmpty(), "waits")
+		g.Expect(p.Step(startTime.Add(time.Second/2), Tick{})).To(BeEmpty(), "waits")
+		list[1].Role, list[1].Changing, list[1].DecodesAt = backend.RoleDecode, false, time.Time{}
+		ready := startTime.Add(time.Second)
+		g.Expect(append(p.Step(ready, RunnersListed{list}), p.Step(ready, Tick{})...)).To(HaveExactElements(HaveField("Runner", "r1")))
+	})
+	t.Run("it does not", func(t *testing.T) {
+		g := NewWithT(t)
+		p, list := changing()
+		g.Expect(p.Step(startTime, request(3*time.Second))).To(BeEmpty(), "waits")
+		list[1].Changing, list[1].DecodesAt = false, time.Time{}
+		g.Expect(append(p.Step(startTime, RunnersListed{list}), p.Step(startTime, Tick{})...)).To(noRunner)
+	})
+	t.Run("too late", func(t *testing.T) {
+		g := NewWithT(t)
+		p, _ := changing()
+		g.Expect(p.Step(startTime, request(time.Second/2))).To(noRunner)
+	})
+	t.Run("it is gone", func(t *testing.T) {
+		g := NewWithT(t)
+		p, list := changing()
+		list = list[:1]
+		g.Expect(p.Step(startTime, RunnersListed{list})).To(BeEmpty())
+		g.Expect(p.Step(startTime, request(3*time.Second))).To(noRunner)
+	})
+}
