edge: the test of lost usage records checks the window before the lost one again

When TestLostUsageRecordDoesNotCloseAWindowAgain moved to closed_survey_test.go, it dropped the window that was reported before the copy from its result, so that a second report of that window would have passed. The check that stood before, that nothing but the expected windows is reported, is back.

--- a/edge/closed_survey_test.go
+++ b/edge/closed_survey_test.go
@@ -162,7 +162,6 @@
 				want[first+1] = metering.Counts{"acme": 1}
 			}
 			got := next.takeOver(now, older)
-			delete(got, first-1) // Reported with the same counts at most.
 			g.Expect(got).To(Equal(want))
 		})
 	}
